--- a/cmd/currantholdd/run.go
+++ b/cmd/currantholdd/run.go
@@ -8,8 +8,6 @@
 	"os/signal"
 	"syscall"
 
-	"github.com/apex/log"
-	"github.com/apex/log/handlers/json"
 	"github.com/google/subcommands"
 
 	"curranthold.example/curranthold/internal/node"
@@ -42,16 +40,20 @@
 
 // Execute implements subcommands.Command.
 func (c *runCommand) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
-	log.SetHandler(json.New(os.Stderr))
 	s, status := loadSettings(c.settingsFile)
 	if status != subcommands.ExitSuccess {
 		return status
 	}
+	n, err := node.New(s)
+	return runNode(ctx, n, err, s.CallerAddress)
+}
+
+// runNode runs a node that was built, or says why it was not.
+func runNode(ctx context.Context, n *node.Node, err error, address string) subcommands.ExitStatus {
 	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
-	n, err := node.New(s)
 	if err == nil {
-		err = n.Run(ctx, func() { fmt.Println("ready", s.CallerAddress) })
+		err = n.Run(ctx, func() { fmt.Println("ready", address) })
 	}
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
--- /dev/null
+++ b/cmd/currantholdd/sidecar.go
@@ -0,0 +1,49 @@
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+	"runtime/debug"
+
+	"github.com/google/subcommands"
+
+	"curranthold.example/curranthold/internal/node"
+	"curranthold.example/curranthold/platform"
+)
+
+// sidecarCommand runs the node on the users' platform.
+type sidecarCommand struct{}
+
+// Name implements subcommands.Command.
+func (*sidecarCommand) Name() string { return "sidecar" }
+
+// Synopsis implements subcommands.Command.
+func (*sidecarCommand) Synopsis() string {
+	return "run the node on the users' platform until SIGTERM or SIGINT"
+}
+
+// Usage implements subcommands.Command.
+func (*sidecarCommand) Usage() string {
+	return `sidecar
+  Runs the node with the settings file that the platform wrote, whose path stands
+  in ` + platform.SettingsVariable + `.
+
+`
+}
+
+// SetFlags implements subcommands.Command.
+func (*sidecarCommand) SetFlags(*flag.FlagSet) {}
+
+// Execute implements subcommands.Command.
+func (*sidecarCommand) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	s, err := platform.LoadSettings(os.Getenv(platform.SettingsVariable))
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return subcommands.ExitUsageError
+	}
+	debug.SetMemoryLimit(int64(s.Limits.MemoryBytes))
+	n, err := node.NewAdapted(s, platform.New(s))
+	return runNode(ctx, n, err, s.CallerAddress)
+}
--- a/internal/admission/config.go
+++ b/internal/admission/config.go
@@ -48,6 +48,9 @@
 	QueueLimit int
 	// Disabled switches mechanisms off.
 	Disabled Mechanism
+	// ZonesBindNested has nested requests refused too where the availability zone
+	// is out of service.
+	ZonesBindNested bool
 }
 
 func (c *Config) enabled(m Mechanism) bool {
@@ -65,6 +68,12 @@
 	Cold bool
 	// Incarnation changes with each start of the backend server.
 	Incarnation string
+	// ColdRate is the number of requests a second that the backend server bears
+	// while it is cold, and ColdFor how long it still is. With a ColdRate the
+	// announcement is taken at its word: requests are paced while it is cold, and
+	// not held back before or after.
+	ColdRate float64
+	ColdFor  time.Duration
 }
 
 func (a *Announcement) slots() int {
--- a/internal/admission/controller.go
+++ b/internal/admission/controller.go
@@ -45,6 +45,9 @@
 	announced   bool
 	leaving     bool
 	zoneOut     bool
+	pace        pace
+	// paced starts waiters when the pace allows the next one.
+	paced *time.Timer
 }
 
 // New returns a Controller. It refuses requests until the backend server is
@@ -67,7 +70,14 @@
 	restart := !c.announced || a.Incarnation != c.incarnation
 	c.announced = true
 	c.incarnation = a.Incarnation
+	c.limiter.stated = a.ColdRate > 0
+	c.pace.set(a.ColdRate, a.ColdFor, now)
 	ramped := c.limiter.announce(a.slots(), a.Cold, restart, now)
+	if c.limiter.slots == 0 {
+		c.refuseQueued(func(*waiter) *verdict.Error {
+			return verdict.New(verdict.NotRun, verdict.ColdStart, "the backend server takes no more requests")
+		})
+	}
 	c.dispatch(now)
 	c.updateGauges()
 	c.mu.Unlock()
@@ -160,7 +170,7 @@
 	switch {
 	case c.leaving:
 		return verdict.New(verdict.NotRun, verdict.Leaving, "this host takes no new requests")
-	case c.zoneOut && r.Depth <= 0:
+	case c.zoneOut && (r.Depth <= 0 || c.config.ZonesBindNested):
 		return verdict.New(verdict.NotRun, verdict.ZoneOutOfService, "the availability zone is out of service")
 	case !c.announced || c.limiter.slots == 0:
 		return verdict.New(verdict.NotRun, verdict.ColdStart, "the backend server has announced no slots")
@@ -232,6 +242,10 @@
 	if c.inFlight >= limit {
 		return false
 	}
+	if wait := c.pace.wait(now); wait > 0 {
+		c.wakeAfter(wait)
+		return false
+	}
 	lessUrgent := c.inFlight - c.running[object.Urgent]
 	if urgency == object.Urgent || lessUrgent < limit-limit/maxReserveShare || !c.config.enabled(UrgentReserve) {
 		return true
@@ -239,7 +253,24 @@
 	return lessUrgent < limit-c.reserve.slots(limit, now)
 }
 
+// wakeAfter has waiters started when the pace allows the next one.
+func (c *Controller) wakeAfter(wait time.Duration) {
+	if c.paced == nil {
+		c.paced = time.AfterFunc(wait, c.wake)
+		return
+	}
+	c.paced.Reset(wait)
+}
+
+func (c *Controller) wake() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.dispatch(c.now())
+	c.updateGauges()
+}
+
 func (c *Controller) start(r Request, now time.Time) *Ticket {
+	c.pace.start(now)
 	c.inFlight++
 	c.running[r.Urgency]++
 	admittedCount[r.Urgency].Add(1)
@@ -283,6 +314,9 @@
 	if c.config.QueueLimit > 0 {
 		return c.config.QueueLimit
 	}
+	if c.pace.active(c.now()) {
+		return max(int(c.pace.rate*queueTime.Seconds()), minQueueLimit)
+	}
 	limit := c.limiter.allowed()
 	most := max(maxQueueFactor*limit, minQueueLimit)
 	if c.reserve.mean <= 0 {
--- a/internal/admission/limiter.go
+++ b/internal/admission/limiter.go
@@ -102,10 +102,13 @@
 // the announced slots, falls when the backend server refuses or breaks
 // requests, and rises again with successes.
 type limiter struct {
-	config  *Config
-	slots   int
-	limit   float64
-	cold    bool // announced
+	config *Config
+	slots  int
+	limit  float64
+	cold   bool // announced
+	// stated is set where the backend server states how long it is cold and
+	// what it bears meanwhile, so that neither is to be found out.
+	stated  bool
 	ramping bool
 	// rampStart is when the present ramp began.
 	rampStart time.Time
@@ -161,7 +164,7 @@
 	l.slots = slots
 	if restart || turnedCold {
 		l.startRamp(now)
-		return true
+		return !l.stated
 	}
 	l.limit = max(min(l.limit, float64(slots)), l.floor())
 	if grew {
@@ -185,7 +188,7 @@
 		}
 	}
 	l.usual = [concurrencyLevels]time.Duration{}
-	if !l.config.enabled(ColdRamp) {
+	if l.stated || !l.config.enabled(ColdRamp) {
 		l.limit = float64(l.slots)
 		return
 	}
@@ -230,7 +233,7 @@
 	if l.suspects.count < l.suspectLimit() || l.suspects.generations < minGenerations {
 		return false
 	}
-	if !l.config.enabled(SilentColdDetection) {
+	if l.stated || !l.config.enabled(SilentColdDetection) {
 		return false
 	}
 	l.startRamp(now)
--- a/internal/admission/state.go
+++ b/internal/admission/state.go
@@ -15,10 +15,14 @@
 func (c *Controller) Load() Load {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	limit := c.limiter.allowed()
+	if c.pace.active(c.now()) {
+		limit = min(limit, c.pace.concurrency(c.reserve.mean))
+	}
 	return Load{
 		InFlight: c.inFlight,
 		Queued:   c.queue.length,
-		Limit:    c.limiter.allowed(),
+		Limit:    limit,
 		Slots:    c.limiter.slots,
 		ShedFrom: c.shedFrom(c.now()),
 		Cold:     c.cold(),
@@ -43,7 +47,7 @@
 // cold reports whether the backend server says that it is cold, or bears less
 // than half of its slots at present.
 func (c *Controller) cold() bool {
-	return c.limiter.cold || (c.limiter.ramping && 2*c.limiter.allowed() < c.limiter.slots)
+	return c.limiter.cold || c.pace.active(c.now()) || (c.limiter.ramping && 2*c.limiter.allowed() < c.limiter.slots)
 }
 
 // Drain refuses the queued requests and all new ones. Running requests go on.
@@ -77,7 +81,7 @@
 	refused := 0
 	if c.zoneOut {
 		refused = c.refuseQueued(func(w *waiter) *verdict.Error {
-			if w.request.Depth > 0 {
+			if w.request.Depth > 0 && !c.config.ZonesBindNested {
 				return nil
 			}
 			return verdict.New(verdict.NotRun, verdict.ZoneOutOfService, "the availability zone was taken out of service")
@@ -134,4 +138,9 @@
 func (c *Controller) Close() {
 	c.Drain()
 	c.waiting.Wait()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.paced != nil {
+		c.paced.Stop()
+	}
 }
--- a/internal/call/call.go
+++ b/internal/call/call.go
@@ -24,6 +24,8 @@
 	Method    string
 	// Target is the path with the query, as in a request line.
 	Target string
+	// Host is the name in the Host header.
+	Host   string
 	Header http.Header
 	Body   []byte
 
@@ -33,6 +35,8 @@
 	// Weight is the client account's share under contention, its rate.
 	Weight float64
 	Route  string
+	// CallerService is the service of the host at which the request began.
+	CallerService string
 	// IdempotencyKey is the caller's key or ticket, if there was one.
 	IdempotencyKey string
 	Urgency        object.Urgency
@@ -60,6 +64,8 @@
 	// Checksum is the xxhash of Body as the owner read it.
 	Checksum uint64
 	Err      *verdict.Error
+	// Offered says that the request may have reached the backend server.
+	Offered bool
 	// Load is the owner's load when it answered.
 	Load admission.Load
 	// NonRepeatable is set when a non-repeatable call without an idempotency key
--- a/internal/configuration/operation.go
+++ b/internal/configuration/operation.go
@@ -5,6 +5,7 @@
 	"encoding/hex"
 	"encoding/json"
 	"maps"
+	"reflect"
 	"slices"
 	"time"
 
@@ -153,7 +154,7 @@
 		}
 		return nil
 	}
-	if exists && before.Spec == d.Spec {
+	if exists && reflect.DeepEqual(before.Spec, d.Spec) {
 		return nil
 	}
 	after := object.Object{Kind: d.ID.Kind, Spec: d.Spec, Metadata: object.Metadata{
--- a/internal/configuration/poll.go
+++ b/internal/configuration/poll.go
@@ -23,12 +23,15 @@
 // polls reports whether this host is one of those that poll the head for their
 // zone. A host that is not in the list of live hosts polls for itself.
 func (r *Replica) polls() bool {
+	if r.config.Source != nil {
+		return r.watchWait() > 0
+	}
 	position := r.view.Load().zone(r.config.Zone).position(r.config.Host)
 	return position < pollersPerZone
 }
 
 func (r *Replica) poll() {
-	r.tableOK.Store(true)
+
 	for r.wait(jittered(pollInterval)) {
 		if r.polls() {
 			r.pollOnce()
--- a/internal/configuration/pull.go
+++ b/internal/configuration/pull.go
@@ -80,6 +80,9 @@
 	if !r.polls() && rand.N(tableShare) != 0 {
 		return errPeerBehind
 	}
+	if r.config.Source != nil {
+		return r.catchUpFromSource(before)
+	}
 	generation, err := r.readHead(ctx)
 	if err != nil {
 		return err
@@ -94,6 +97,15 @@
 	return nil
 }
 
+// catchUpFromSource reads the source in place of a peer that had nothing later.
+func (r *Replica) catchUpFromSource(before uint64) error {
+	r.readSource(0)
+	if r.Snapshot().generation <= before {
+		return errPeerBehind
+	}
+	return nil
+}
+
 func (r *Replica) catchUpFromPeer(ctx context.Context, address string) error {
 	for {
 		reply, err := r.pullFrom(ctx, address)
--- a/internal/configuration/replica.go
+++ b/internal/configuration/replica.go
@@ -27,7 +27,10 @@
 	// Store carries whole snapshots; without one they come from peers and the
 	// table.
 	Store platform.ObjectStore
-	Peers peer.Caller
+	// Source is where operators declare whole configurations; the rows in the
+	// table are then not used.
+	Source Source
+	Peers  peer.Caller
 	// Now is the clock; nil stands for time.Now.
 	Now func() time.Time
 }
@@ -96,6 +99,7 @@
 	}
 	r.state.Store(newState(&Snapshot{}))
 	r.view.Store(newView(nil))
+	r.tableOK.Store(true)
 	return r
 }
 
@@ -241,7 +245,13 @@
 	stop := context.AfterFunc(ctx, r.cancel)
 	defer stop()
 
-	for _, work := range []func(){r.control, r.start, r.pull, r.poll, r.gossip, r.storeSnapshots} {
+	works := []func(){r.control, r.start, r.pull, r.gossip}
+	if r.config.Source != nil {
+		works = append(works, r.followSource)
+	} else {
+		works = append(works, r.poll, r.storeSnapshots)
+	}
+	for _, work := range works {
 		r.goWork(work)
 	}
 	<-r.ctx.Done()
--- a/internal/configuration/snapshot.go
+++ b/internal/configuration/snapshot.go
@@ -27,7 +27,11 @@
 	services   map[string]object.ServiceSpec
 	zones      map[string]object.AvailabilityZoneSpec
 	keys       map[string]*keyEntry
-	routes     segment
+	// digests holds the client account of each key that is known by its digest.
+	digests map[string]string
+	routes  segment
+	// byHost holds the routes that state a host, by host.
+	byHost map[string]hostRoutes
 }
 
 type keyEntry struct {
@@ -48,6 +52,8 @@
 		services:   make(map[string]object.ServiceSpec, len(before.services)),
 		zones:      make(map[string]object.AvailabilityZoneSpec, len(before.zones)),
 		keys:       make(map[string]*keyEntry, len(before.keys)),
+		digests:    make(map[string]string, len(before.digests)),
+		byHost:     make(map[string]hostRoutes, len(before.byHost)),
 	}
 	for id, o := range objects {
 		if err := s.add(o, before); err != nil {
@@ -66,8 +72,12 @@
 	case object.AvailabilityZoneSpec:
 		s.zones[o.Name] = spec
 	case object.RouteSpec:
-		s.routes.add(&Route{Name: o.Name, Spec: spec})
+		s.addRoute(newRoute(o.Name, spec))
 	case object.KeySpec:
+		if spec.Digest != "" {
+			s.digests[spec.Digest] = spec.ClientAccount
+			return nil
+		}
 		entry, err := before.keyEntry(o.ID(), spec)
 		if err != nil {
 			return err
@@ -105,7 +115,7 @@
 	}
 	p, err := key.Parse(presented)
 	if err != nil {
-		return "", refusedKey()
+		return s.authenticateDigest(presented)
 	}
 	entry, known := s.keys[p.Name()]
 	if !known {
@@ -121,6 +131,22 @@
 	return entry.account, nil
 }
 
+// authenticateDigest returns the client account of a key that was made
+// elsewhere.
+func (s *Snapshot) authenticateDigest(presented string) (account string, err error) {
+	if len(s.digests) == 0 {
+		return "", refusedKey()
+	}
+	account, known := s.digests[key.Digest(presented)]
+	if !known {
+		return "", refusedKey()
+	}
+	if _, declared := s.accounts[account]; !declared {
+		return "", refusedKey()
+	}
+	return account, nil
+}
+
 func refusedKey() error {
 	return &verdict.Error{Verdict: verdict.NotRun, Code: verdict.KeyRefused, Message: "the key is not valid"}
 }
--- a/internal/configuration/start.go
+++ b/internal/configuration/start.go
@@ -43,6 +43,9 @@
 // learn of. The table's word is enough, since each accepted generation is in
 // it; without it, that of the ready hosts among a sample of all zones.
 func (r *Replica) becomeReady(ctx context.Context) bool {
+	if r.config.Source != nil {
+		return r.readyFromSource()
+	}
 	generation, err := r.readHead(ctx)
 	if err == nil {
 		if r.Snapshot().generation < generation {
@@ -50,6 +53,12 @@
 		}
 		return err == nil && r.inForce.Load() >= generation
 	}
+	return r.readyFromPeers(ctx)
+}
+
+// readyFromPeers reports whether the node holds the highest generation of the
+// ready hosts among a sample.
+func (r *Replica) readyFromPeers(ctx context.Context) bool {
 	best, found := r.highestPeer(ctx)
 	if !found {
 		return false
--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -21,6 +21,9 @@
 	answerGrace = 3 * time.Millisecond
 	// cancelTimeout bounds the message that abandons a call.
 	cancelTimeout = 200 * time.Millisecond
+	// maxMoves bounds the hosts that are tried after one that refused the call
+	// without offering it to its backend server.
+	maxMoves = 3
 )
 
 // attemptStage sends the call to a host, and to others as long as that is safe
@@ -35,7 +38,7 @@
 		var earlier *verdict.Error
 		mayHaveRun := false
 		for attempt := 1; ; attempt++ {
-			host, err := e.attempt(ctx, x, attempt, excluded)
+			host, offered, err := e.attempt(ctx, x, attempt, excluded)
 			if err == nil {
 				return nil
 			}
@@ -45,10 +48,11 @@
 			}
 			earlier = failure
 			mayHaveRun = mayHaveRun || failure.Verdict == verdict.MayHaveRun
-			if !e.mayRetry(ctx, x, failure) {
+			if !e.mayRetry(ctx, x, failure, offered) {
 				return settle(failure, mayHaveRun)
 			}
 			metricRetries.Add(1)
+			e.log.again(x, host, attempt, failure)
 			x.request.Repeated = x.request.Repeated || mayHaveRun
 			if host != "" {
 				excluded = append(excluded, host)
@@ -70,11 +74,18 @@
 	e.retries.First()
 }
 
-// mayRetry takes a retry from the budgets if the failure allows one.
-func (e *Entry) mayRetry(ctx context.Context, x *exchange, failure *verdict.Error) bool {
-	return ctx.Err() == nil &&
-		retry.Allowed(failure, x.request.NonRepeatable) &&
-		x.budget.Remaining() > 0 &&
+// mayRetry reports whether the call may be sent once more. It takes a retry from
+// the budgets, but for a move to another host before any backend server was
+// offered a call whose budget is that of its route.
+func (e *Entry) mayRetry(ctx context.Context, x *exchange, failure *verdict.Error, offered bool) bool {
+	if ctx.Err() != nil || !retry.Allowed(failure, x.request.NonRepeatable) {
+		return false
+	}
+	if !offered && e.config.NoCallTokens {
+		x.moves++
+		return x.moves <= maxMoves
+	}
+	return x.budget.Remaining() > 0 &&
 		(e.config.FreeRetries || e.retries.Take()) &&
 		x.budget.Take()
 }
@@ -100,8 +111,8 @@
 }
 
 // attempt sends the call to one host. It returns the host's name, or "" where
-// none was chosen.
-func (e *Entry) attempt(ctx context.Context, x *exchange, number int, excluded []string) (string, error) {
+// none was chosen, and whether a backend server may have been offered the call.
+func (e *Entry) attempt(ctx context.Context, x *exchange, number int, excluded []string) (name string, offered bool, err error) {
 	host, err := e.config.Chooser.Choose(balance.Request{
 		Service: x.request.Service,
 		Urgency: x.request.Urgency,
@@ -109,7 +120,7 @@
 		Exclude: excluded,
 	})
 	if err != nil {
-		return "", err
+		return "", false, err
 	}
 	share := x.budget.Split()
 	request := x.request
@@ -121,20 +132,21 @@
 	x.noteNonRepeatable(request.NonRepeatable && !x.claimed)
 	answer, err := e.send(ctx, host, &request)
 	if err != nil {
-		if verdict.Of(err) == verdict.NotRun {
+		notSent := verdict.Of(err) == verdict.NotRun
+		if notSent || e.config.NoCallTokens {
 			share.Refund(share.Extra())
 		}
-		return host.ID, err
+		return host.ID, !notSent, err
 	}
 	x.noteNonRepeatable(answer.NonRepeatable)
 	share.Refund(answer.ExtraAttempts)
 	e.config.Chooser.Observe(host.ID, answer.Load, time.Now())
 	e.throttle.Observe(x.kind(), answer.RefusedBeneath, time.Now())
 	if answer.Err != nil {
-		return host.ID, answer.Err
+		return host.ID, answer.Offered, answer.Err
 	}
 	x.answer = answer
-	return host.ID, nil
+	return host.ID, true, nil
 }
 
 // noteNonRepeatable tells the parent of a nested call, if there is one, that the
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -8,6 +8,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/sourcegraph/conc"
@@ -20,7 +21,6 @@
 	"curranthold.example/curranthold/internal/owner"
 	"curranthold.example/curranthold/internal/peer"
 	"curranthold.example/curranthold/internal/retry"
-	"curranthold.example/curranthold/pkg/header"
 	"curranthold.example/curranthold/pkg/verdict"
 )
 
@@ -60,13 +60,20 @@
 
 // Config says what an entry is built from.
 type Config struct {
-	Host          string
+	Host string
+	// Service is that of the backend server on this host, where it is known
+	// before the backend server announces itself.
+	Service string
+	// Codec reads and writes the headers of callers; nil stands for the
+	// project's own interface.
+	Codec         Codec
 	Configuration Configuration
 	Quota         Quota
-	Claims        Claims
-	Chooser       *balance.Chooser
-	Peers         peer.Caller
-	Owner         Owner
+	// Claims is nil where no request has an idempotency key or ticket.
+	Claims  Claims
+	Chooser *balance.Chooser
+	Peers   peer.Caller
+	Owner   Owner
 	// RequestBytes bounds the body of a request.
 	RequestBytes int64
 	// CallsInFlight and BytesInFlight bound the calls from callers that the
@@ -79,6 +86,10 @@
 	// ExtraAttempts is the attempt budget of a root call beyond its first
 	// attempt.
 	ExtraAttempts int
+	// NoCallTokens says that backend servers present no call tokens. Each call is
+	// then a root of its own, whose budget of attempts counts the backend servers
+	// that were offered it and is not shared with the calls beneath it.
+	NoCallTokens bool
 	// FreeRetries takes off the bound on the node's retries, for a measurement
 	// of what the bound is worth.
 	FreeRetries bool
@@ -91,6 +102,7 @@
 type Entry struct {
 	config  Config
 	retries retry.Bucket
+	log     requestLog
 	// throttle refuses calls that services beneath would refuse.
 	throttle balance.Throttle
 	calls    bound
@@ -102,19 +114,30 @@
 
 // New returns an entry.
 func New(config Config) (*Entry, error) {
-	e := &Entry{config: config}
+	if config.Codec == nil {
+		config.Codec = ownCodec{}
+	}
+	e := &Entry{config: config, log: newRequestLog()}
 	e.calls.what, e.calls.most = "calls", int64(config.CallsInFlight)
 	e.bodies.what, e.bodies.most = "bytes of requests", config.BytesInFlight
 	var err error
-	if e.root, err = stages.Build(e, rootPath...); err != nil {
+	if e.root, err = stages.Build(e, config.path(rootPath)...); err != nil {
 		return nil, err
 	}
-	if e.nested, err = stages.Build(e, nestedPath...); err != nil {
+	if e.nested, err = stages.Build(e, config.path(nestedPath)...); err != nil {
 		return nil, err
 	}
 	return e, nil
 }
 
+// path returns the stages of a path that the configuration has use for.
+func (c *Config) path(stages []string) []string {
+	if c.Claims != nil {
+		return stages
+	}
+	return slices.DeleteFunc(slices.Clone(stages), func(name string) bool { return name == "claim" })
+}
+
 // Close waits for messages that are still under way. No call may be running.
 func (e *Entry) Close() error {
 	e.wg.Wait()
@@ -133,11 +156,18 @@
 	path   string
 	parent *owner.Parent
 	budget *retry.Budget
+	// moves counts the hosts that refused the call without offering it to their
+	// backend servers.
+	moves int
+	// generation is that of the configuration which the call was routed by.
+	generation uint64
 	// bodyBytes is the most that the body may take; readBody reads it.
 	bodyBytes int64
 	readBody  func() ([]byte, error)
-	// timeout is the time that the caller allows, 0 where it said nothing.
+	// timeout is the time that the caller allows from arrived on, 0 where it said
+	// nothing.
 	timeout time.Duration
+	arrived time.Time
 	route   *configuration.Route
 	// claimed is set once the claims decide about the request.
 	claimed bool
@@ -168,10 +198,22 @@
 // Leaving returns the handler that refuses calls from callers while this node
 // leaves.
 func (e *Entry) Leaving() http.Handler {
+	return e.refuse(verdict.New(verdict.NotRun, verdict.Leaving, "this node leaves; call another"))
+}
+
+// Unready returns the handler that refuses calls from callers while this node
+// knows no configuration.
+func (e *Entry) Unready() http.Handler {
+	return e.refuse(verdict.New(verdict.NotRun, verdict.NotReady, "this node knows no configuration yet"))
+}
+
+func (e *Entry) refuse(reason *verdict.Error) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		x := &exchange{ticket: r.Header.Get(header.Ticket)}
-		x.request.IdempotencyKey = r.Header.Get(header.IdempotencyKey)
-		writeError(w, x.judge(verdict.New(verdict.NotRun, verdict.Leaving, "this node leaves; call another")))
+		meta, _ := e.config.Codec.Read(r) // A header that is wrong is refused like others.
+		x := &exchange{ticket: meta.Ticket, timeout: meta.Timeout}
+		x.request.RequestID = meta.RequestID
+		x.request.IdempotencyKey = meta.IdempotencyKey
+		e.writeError(w, x, x.judge(reason))
 	})
 }
 
@@ -181,17 +223,16 @@
 func (e *Entry) serveRoot(w http.ResponseWriter, r *http.Request) {
 	x, err := e.readRequest(w, r)
 	if err != nil {
-		writeAnswer(w, x, x.judge(err))
+		e.writeAnswer(w, x, x.judge(err))
 		return
 	}
 	release, err := e.calls.hold(1)
 	if err != nil {
-		writeAnswer(w, x, x.judge(err))
+		e.writeAnswer(w, x, x.judge(err))
 		return
 	}
 	defer release()
-	x.budget = retry.NewBudget(e.config.ExtraAttempts)
-	writeAnswer(w, x, x.judge(e.root(r.Context(), x)))
+	e.writeAnswer(w, x, x.judge(e.root(r.Context(), x)))
 }
 
 func (e *Entry) serveNested(w http.ResponseWriter, r *http.Request) {
@@ -199,7 +240,7 @@
 	if err == nil {
 		err = e.runNested(r, x)
 	}
-	writeAnswer(w, x, x.judge(err))
+	e.writeAnswer(w, x, x.judge(err))
 }
 
 // runNested serves a call under the running call whose token it presents. It
--- a/internal/entry/http.go
+++ b/internal/entry/http.go
@@ -9,8 +9,10 @@
 	"io"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
+	"curranthold.example/curranthold/internal/call"
 	"curranthold.example/curranthold/pkg/header"
 	"curranthold.example/curranthold/pkg/verdict"
 )
@@ -32,44 +34,41 @@
 	maxTickets = 1000
 )
 
-// ownHeaders are headers of the system that no backend server gets as the
-// caller sent them.
-var ownHeaders = []string{
-	header.Key, header.CallToken, header.Deadline, header.IdempotencyKey, header.Ticket,
-	header.RequestID, header.Account, header.Route, header.Urgency, header.Refused,
-	header.Verdict, "Connection", "Keep-Alive", "Te", "Trailer", "Transfer-Encoding", "Upgrade", "Content-Length",
-}
-
 func callToken(r *http.Request) string { return r.Header.Get(header.CallToken) }
 
 // readRequest takes in a request but for its body.
 func (e *Entry) readRequest(w http.ResponseWriter, r *http.Request) (*exchange, error) {
-	x := &exchange{
-		key:    r.Header.Get(header.Key),
-		ticket: r.Header.Get(header.Ticket),
-		path:   r.URL.Path,
-	}
+	meta, err := e.config.Codec.Read(r)
+	x := &exchange{key: meta.Key, ticket: meta.Ticket, path: r.URL.Path, timeout: meta.Timeout, arrived: time.Now()}
 	x.id = e.config.Host + "-" + rand.Text()
-	x.request.RequestID = cmp.Or(r.Header.Get(header.RequestID), x.id)
+	x.request.RequestID = cmp.Or(meta.RequestID, x.id)
 	x.request.Method = r.Method
-	x.request.Target = r.URL.RequestURI()
-	x.request.IdempotencyKey = r.Header.Get(header.IdempotencyKey)
-	if err := x.checkNames(); err != nil {
-		return x, err
+	x.request.Target = target(r)
+	x.request.Host = r.Host
+	x.request.Depth = meta.Depth
+	x.request.CallerService = e.config.Service
+	x.request.IdempotencyKey = meta.IdempotencyKey
+	if nameErr := x.checkNames(); nameErr != nil {
+		return x, nameErr
 	}
-	var err error
-	if x.timeout, err = readDeadline(r); err != nil {
+	if err != nil {
 		return x, err
 	}
-	x.request.Header = r.Header.Clone()
-	for _, name := range ownHeaders {
-		x.request.Header.Del(name)
-	}
+	x.request.Header = call.EndToEnd(r.Header)
+	e.config.Codec.Strip(x.request.Header)
 	x.bodyBytes = e.bodyBytes(r)
 	x.readBody = func() ([]byte, error) { return e.readBody(w, r) }
 	return x, nil
 }
 
+// target returns the path with the query as the caller sent them.
+func target(r *http.Request) string {
+	if strings.HasPrefix(r.RequestURI, "/") {
+		return r.RequestURI
+	}
+	return r.URL.RequestURI()
+}
+
 // readBody reads the body within bodyTimeout. Its errors are NotRun.
 func (e *Entry) readBody(w http.ResponseWriter, r *http.Request) ([]byte, error) {
 	if r.ContentLength == 0 {
@@ -108,73 +107,28 @@
 	return nil
 }
 
-func readDeadline(r *http.Request) (time.Duration, error) {
-	text := r.Header.Get(header.Deadline)
-	if text == "" {
-		return 0, nil
-	}
-	ms, err := strconv.ParseInt(text, 10, 64)
-	if err != nil || ms < 1 || ms > maxTimeout.Milliseconds() {
-		return 0, verdict.New(verdict.NotRun, verdict.BadRequest,
-			"%s must be a number of milliseconds between 1 and %d", header.Deadline, maxTimeout.Milliseconds())
-	}
-	return time.Duration(ms) * time.Millisecond, nil
-}
-
-// statuses gives the HTTP status of each code; others are 503.
-var statuses = map[verdict.Code]int{
-	verdict.BadRequest:         http.StatusBadRequest,
-	verdict.RequestTooLarge:    http.StatusRequestEntityTooLarge,
-	verdict.UnknownRoute:       http.StatusNotFound,
-	verdict.KeyMissing:         http.StatusUnauthorized,
-	verdict.KeyRefused:         http.StatusForbidden,
-	verdict.KeyUnconfirmed:     http.StatusForbidden,
-	verdict.CallTokenRefused:   http.StatusForbidden,
-	verdict.DeadlineExceeded:   http.StatusGatewayTimeout,
-	verdict.QuotaExceeded:      http.StatusTooManyRequests,
-	verdict.AlreadyRan:         http.StatusConflict,
-	verdict.ClaimHeld:          http.StatusConflict,
-	verdict.PeerExchangeBroken: http.StatusBadGateway,
-	verdict.BackendBroken:      http.StatusBadGateway,
-	verdict.AnswerTooLarge:     http.StatusBadGateway,
-	verdict.AnswerMismatch:     http.StatusBadGateway,
-	verdict.Internal:           http.StatusInternalServerError,
-}
-
 // writeAnswer sends the answer or the error to the caller.
-func writeAnswer(w http.ResponseWriter, x *exchange, err error) {
-	w.Header().Set(header.RequestID, x.request.RequestID)
+func (e *Entry) writeAnswer(w http.ResponseWriter, x *exchange, err error) {
 	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(answerTimeout))
 	if err != nil {
-		writeError(w, err)
+		e.writeError(w, x, err)
 		return
 	}
 	for name, values := range x.answer.Header {
 		w.Header()[name] = values
 	}
-	w.Header().Set(header.RequestID, x.request.RequestID)
-	w.Header().Set(header.Verdict, verdict.Ran.String())
+	e.config.Codec.WriteAnswer(w.Header(), x.request.RequestID)
 	w.Header().Set("Content-Length", strconv.Itoa(len(x.answer.Body)))
 	w.WriteHeader(x.answer.Status)
 	_, _ = w.Write(x.answer.Body)
 	metricServed[x.request.Urgency].Add(1)
 }
 
-func writeError(w http.ResponseWriter, err error) {
+func (e *Entry) writeError(w http.ResponseWriter, x *exchange, err error) {
 	failure := verdict.From(err)
 	metricRefused.Add(string(failure.Code)+"-"+failure.Verdict.String(), 1)
-	status, ok := statuses[failure.Code]
-	if !ok {
-		status = http.StatusServiceUnavailable
-	}
-	body, _ := json.Marshal(failure)
-	w.Header().Set("Content-Type", "application/json")
-	w.Header().Set(header.Verdict, failure.Verdict.String())
-	if status == http.StatusTooManyRequests || status == http.StatusServiceUnavailable {
-		w.Header().Set("Retry-After", "1")
-	}
-	w.WriteHeader(status)
-	_, _ = w.Write(body)
+	e.log.ended(x, failure)
+	e.config.Codec.WriteError(w, x.request.RequestID, failure, returnAfter(x, failure))
 }
 
 // ticketAnswer is the answer to a request for tickets.
@@ -186,7 +140,7 @@
 func (e *Entry) serveTickets(w http.ResponseWriter, r *http.Request) {
 	answer, err := e.issueTickets(r.Context(), r)
 	if err != nil {
-		writeError(w, err)
+		e.writeError(w, new(exchange), err)
 		return
 	}
 	body, _ := json.Marshal(answer)
--- a/internal/entry/metric.go
+++ b/internal/entry/metric.go
@@ -12,6 +12,7 @@
 	metricServed           = servedByUrgency()
 	metricRefused          = metrics.Ints("refused-by-code-and-verdict")
 	metricRetries          = metrics.Int("retries")
+	metricLinesLeftOut     = metrics.Int("log-lines-left-out")
 	metricClaimsUnfinished = metrics.Int("claims-unfinished")
 )
 
--- a/internal/entry/stage.go
+++ b/internal/entry/stage.go
@@ -2,11 +2,15 @@
 
 import (
 	"context"
+	"math/rand/v2"
+	"strings"
 	"time"
 
 	"curranthold.example/curranthold/internal/claim"
+	"curranthold.example/curranthold/internal/configuration"
 	"curranthold.example/curranthold/internal/kernel"
 	"curranthold.example/curranthold/internal/key"
+	"curranthold.example/curranthold/internal/retry"
 	"curranthold.example/curranthold/pkg/verdict"
 )
 
@@ -28,14 +32,20 @@
 // root.
 func routeStage(e *Entry) kernel.Stage[*exchange] {
 	return func(ctx context.Context, x *exchange, next kernel.Handler[*exchange]) error {
-		route, ok := e.config.Configuration.Snapshot().Route(x.request.Method, x.path)
+		sent, _, _ := strings.Cut(x.request.Target, "?")
+		snapshot := e.config.Configuration.Snapshot()
+		x.generation = snapshot.Generation()
+		route, ok := snapshot.RouteByHost(x.request.Host, x.request.Method, sent, x.path)
 		if !ok {
 			return verdict.New(verdict.NotRun, verdict.UnknownRoute, "no route for %s %s", x.request.Method, x.path)
 		}
 		x.route = route
 		x.request.Route = route.Name
-		x.request.Service = route.Spec.Service
+		x.request.Service = route.Service(rand.Float64())
 		x.request.NonRepeatable = route.Spec.NonRepeatable
+		if x.parent == nil {
+			x.budget = retry.NewBudget(e.extraAttempts(route))
+		}
 		if x.parent == nil {
 			x.request.Urgency = route.Spec.Urgency
 		}
@@ -43,6 +53,15 @@
 	}
 }
 
+// extraAttempts returns how often a root call on the route may be sent beyond its
+// first attempt.
+func (e *Entry) extraAttempts(route *configuration.Route) int {
+	if route.Spec.Attempts > 0 {
+		return route.Spec.Attempts - 1
+	}
+	return e.config.ExtraAttempts
+}
+
 // keyStage finds the client account of a call by its key. The key goes no
 // further. A call that waits when its key is withdrawn ends.
 func keyStage(e *Entry) kernel.Stage[*exchange] {
@@ -58,7 +77,11 @@
 		}
 		x.request.Account = account
 		x.request.KeyName = keyName(presented)
-		x.request.Weight = e.config.Configuration.Snapshot().Accounts()[account].Rate
+		spec := e.config.Configuration.Snapshot().Accounts()[account]
+		x.request.Weight = spec.Rate
+		if spec.Urgency != nil {
+			x.request.Urgency = *spec.Urgency
+		}
 		return next(ctx, x)
 	}
 }
@@ -82,7 +105,8 @@
 		if x.timeout > 0 {
 			timeout = min(timeout, x.timeout)
 		}
-		ctx, cancel := context.WithTimeout(ctx, timeout-min(answerMargin, timeout/10))
+		end := x.arrived.Add(timeout - min(answerMargin, timeout/10))
+		ctx, cancel := context.WithDeadline(ctx, end)
 		defer cancel()
 		return next(ctx, x)
 	}
--- a/internal/key/key.go
+++ b/internal/key/key.go
@@ -47,6 +47,12 @@
 	return version + "." + name + "." + base64.RawURLEncoding.EncodeToString(secret[:]), spec
 }
 
+// Digest returns the SHA-256 of a key that was made elsewhere, in hexadecimal.
+func Digest(presented string) string {
+	sum := sha256.Sum256([]byte(presented))
+	return hex.EncodeToString(sum[:])
+}
+
 // Presented is a key as a caller presented it.
 type Presented struct {
 	name   string
--- a/internal/node/connect.go
+++ b/internal/node/connect.go
@@ -6,6 +6,7 @@
 	"curranthold.example/curranthold/internal/configuration"
 	"curranthold.example/curranthold/internal/membership"
 	"curranthold.example/curranthold/internal/quota"
+	"curranthold.example/curranthold/internal/tally"
 	"curranthold.example/curranthold/pkg/object"
 )
 
@@ -33,16 +34,22 @@
 		configured []configuration.Host
 		limited    []quota.Host
 		claimed    []claim.Host
+		counted    []tally.Host
 	)
 	for _, m := range members {
 		configured = append(configured, configuration.Host{ID: m.ID, Zone: m.Zone, Address: m.Address})
 		if !m.Leaving || m.ID == n.settings.Host {
 			limited = append(limited, quota.Host{ID: m.ID, Zone: m.Zone, Address: m.Address})
 			claimed = append(claimed, claim.Host{ID: m.ID, Zone: m.Zone, Address: m.Address})
+			counted = append(counted, tally.Host{ID: m.ID, Zone: m.Zone, Address: m.Address})
 		}
 	}
 	n.configuration.SetHosts(configured)
-	n.forgetDeparted(members)
+	n.noteLeaving(members)
+	if n.adapter.foreign() {
+		n.tally.SetHosts(counted, n.leaving)
+		return
+	}
 	n.quota.SetHosts(limited)
 	n.claims.SetHosts(claimed)
 }
@@ -62,9 +69,9 @@
 	n.chooser.SetHosts(byService)
 }
 
-// forgetDeparted has the configuration's surveys no longer count hosts that left
-// as they had announced.
-func (n *Node) forgetDeparted(members []membership.Member) {
+// noteLeaving notes which hosts have announced that they leave, and has the
+// configuration's surveys no longer count those that have left.
+func (n *Node) noteLeaving(members []membership.Member) {
 	present := make(map[string]bool, len(members))
 	for _, m := range members {
 		present[m.ID] = true
@@ -84,11 +91,7 @@
 
 // followConfiguration hands a new configuration to the parts that obey it.
 func (n *Node) followConfiguration(s *configuration.Snapshot) {
-	limits := make(map[string]quota.Limit)
-	for name, spec := range s.Accounts() {
-		limits[name] = quota.Limit{Rate: spec.Rate, Burst: spec.Burst}
-	}
-	n.quota.SetAccounts(limits)
+	n.limitAccounts(s)
 	inService := make(map[string]bool)
 	for name, spec := range s.Zones() {
 		inService[name] = spec.InService
@@ -99,6 +102,23 @@
 	n.owner.EndWithdrawn()
 }
 
+// limitAccounts hands the limits of the client accounts to what keeps them.
+func (n *Node) limitAccounts(s *configuration.Snapshot) {
+	if n.adapter.foreign() {
+		limits := make(map[string]tally.Limit)
+		for name, spec := range s.Accounts() {
+			limits[name] = tally.Limit{Rate: spec.Rate, Burst: spec.Burst}
+		}
+		n.tally.SetAccounts(limits)
+		return
+	}
+	limits := make(map[string]quota.Limit)
+	for name, spec := range s.Accounts() {
+		limits[name] = quota.Limit{Rate: spec.Rate, Burst: spec.Burst}
+	}
+	n.quota.SetAccounts(limits)
+}
+
 // keyWithdrawn reports whether this node knows that the key was withdrawn.
 func (n *Node) keyWithdrawn(name string) bool {
 	found, ok := n.configuration.Snapshot().Object(object.ID{Kind: object.KindKey, Name: name})
--- a/internal/node/listen.go
+++ b/internal/node/listen.go
@@ -29,6 +29,7 @@
 	backend  net.Listener
 	peer     net.Listener
 	operator net.Listener
+	ready    net.Listener
 }
 
 func (l *listeners) open(s settings.Settings) error {
@@ -36,11 +37,14 @@
 	open := func(address string) (net.Listener, error) {
 		return config.Listen(context.Background(), "tcp", address)
 	}
-	var errs [4]error
+	var errs [5]error
 	l.caller, errs[0] = openBacklog(open(s.CallerAddress))
 	l.backend, errs[1] = open(s.BackendAddress)
 	l.peer, errs[2] = open(s.PeerListener())
 	l.operator, errs[3] = open(s.OperatorAddress)
+	if s.ReadyAddress != "" {
+		l.ready, errs[4] = open(s.ReadyAddress)
+	}
 	return errors.Join(errs[:]...)
 }
 
@@ -55,7 +59,7 @@
 // close closes those listeners that are still open.
 func (l *listeners) close() error {
 	var errs []error
-	listeners := []net.Listener{l.backend, l.peer, l.operator}
+	listeners := []net.Listener{l.backend, l.peer, l.operator, l.ready}
 	if l.caller != nil {
 		listeners = append(listeners, l.caller)
 	}
@@ -73,6 +77,9 @@
 // backendHandler serves the backend server on this host: its announcements, and
 // its calls to other services.
 func (n *Node) backendHandler() http.Handler {
+	if n.adapter.foreign() {
+		return n.adapter.Heartbeats(n.owner)
+	}
 	router := httprouter.New()
 	router.HandlerFunc(http.MethodPost, "/v1/announce", n.owner.ServeAnnounce)
 	router.HandlerFunc(http.MethodDelete, "/v1/announce", n.owner.ServeAnnounce)
@@ -86,6 +93,9 @@
 
 // operatorHandler serves the resource API and the metrics.
 func (n *Node) operatorHandler() http.Handler {
+	if n.adapter.foreign() {
+		return expvar.Handler()
+	}
 	operators := make(map[string]string, len(n.settings.Operators))
 	for _, operator := range n.settings.Operators {
 		operators[operator.TokenSHA256] = operator.Name
@@ -96,7 +106,7 @@
 		Host:          n.settings.Host,
 		Zone:          n.settings.AvailabilityZone,
 		Configuration: n.configuration,
-		Table:         n.platform,
+		Table:         n.table,
 		Operators:     operators,
 	})
 	return router
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -6,6 +6,7 @@
 	"errors"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/sourcegraph/conc"
@@ -22,12 +23,11 @@
 	"curranthold.example/curranthold/internal/platform"
 	"curranthold.example/curranthold/internal/quota"
 	"curranthold.example/curranthold/internal/settings"
+	"curranthold.example/curranthold/internal/tally"
+	"curranthold.example/curranthold/pkg/object"
 )
 
 const (
-	// leaveNotice is how long a leaving node still takes work while the others
-	// learn that it leaves.
-	leaveNotice = time.Second
 	// refuseNotice is how long it then refuses calls, before nothing listens.
 	refuseNotice = 500 * time.Millisecond
 	// expiryInterval is the time between two looks at the announcement.
@@ -37,20 +37,27 @@
 // Node is one node of the fleet.
 type Node struct {
 	settings      settings.Settings
+	adapter       Adapter
 	platform      *platform.Client
+	table         platform.Table
 	pool          *peer.Pool
 	peers         *peer.Server
 	members       *membership.List
 	configuration *configuration.Replica
-	quota         *quota.Manager
-	claims        *claim.Claimer
-	admission     *admission.Controller
-	chooser       *balance.Chooser
-	owner         *owner.Owner
-	entry         *entry.Entry
+	// quota and claims are those of the project's own interface, tally that of an
+	// adapter.
+	quota     *quota.Manager
+	claims    *claim.Claimer
+	tally     *tally.Manager
+	admission *admission.Controller
+	chooser   *balance.Chooser
+	owner     *owner.Owner
+	entry     *entry.Entry
 	// leaving holds the hosts that announced that they leave. Only the
 	// membership's goroutine uses it.
 	leaving map[string]bool
+	// taking is set while the node takes new calls.
+	taking atomic.Bool
 
 	// directory is used by one call of followMembers at a time.
 	directory directory
@@ -67,24 +74,32 @@
 
 func (g *generations) Hear(generation uint64, address string) { g.replica.Hear(generation, address) }
 
-// New builds a node and opens its addresses. Nothing is served before Run.
-func New(s settings.Settings) (*Node, error) {
-	n := &Node{settings: s, leaving: make(map[string]bool)}
+// New builds a node with the project's own interface and opens its addresses.
+// Nothing is served before Run.
+func New(s settings.Settings) (*Node, error) { return NewAdapted(s, Adapter{}) }
+
+// NewAdapted is New for a node that runs through an adapter.
+func NewAdapted(s settings.Settings, adapter Adapter) (*Node, error) {
+	n := &Node{settings: s, adapter: adapter, table: adapter.Table, leaving: make(map[string]bool)}
 	n.platform = platform.New(platform.Config{
 		TableAddress: s.Platform.TableAddress,
 		StoreAddress: s.Platform.ObjectStoreAddress,
 		Timeout:      s.PlatformTimeout(),
 	})
+	if n.table == nil {
+		n.table = n.platform
+	}
 	clock := new(generations)
 	n.pool = peer.NewPool(s.Secret(), s.PeerAddress, clock)
 	n.peers = peer.NewServer(s.Secret(), clock)
 	n.configuration = configuration.New(configuration.Config{
-		Host: s.Host, Zone: s.AvailabilityZone, Table: n.platform, Store: n.platform.Objects(), Peers: n.pool,
+		Host: s.Host, Zone: s.AvailabilityZone, Table: n.platform, Store: n.platform.Objects(),
+		Source: adapter.Source, Peers: n.pool,
 	})
 	clock.replica = n.configuration
 	n.members = membership.New(membership.Config{
 		ID: s.Host, Zone: s.AvailabilityZone, Address: s.PeerAddress,
-		Seeds: s.Seeds, Peers: n.pool, Table: n.platform,
+		Seeds: s.Seeds, Peers: n.pool, Table: n.table,
 	})
 	n.buildDecisions()
 	if err := n.buildPath(); err != nil {
@@ -100,15 +115,23 @@
 // buildDecisions builds the parts that decide about calls.
 func (n *Node) buildDecisions() {
 	s := n.settings
-	n.quota = quota.New(quota.Config{
-		Host: s.Host, Zone: s.AvailabilityZone, Incarnation: n.members.Incarnation(),
-		Peers: n.pool, Table: n.platform,
-	})
-	n.claims = claim.New(claim.Config{
-		Host: s.Host, Zone: s.AvailabilityZone, Address: s.PeerAddress,
-		Incarnation: n.members.Incarnation(), Secret: s.Secret(), Peers: n.pool, Table: n.platform,
+	if n.adapter.foreign() {
+		n.tally = tally.New(tally.Config{
+			Host: s.Host, Zone: s.AvailabilityZone, Incarnation: n.members.Incarnation(), Peers: n.pool,
+		})
+	} else {
+		n.quota = quota.New(quota.Config{
+			Host: s.Host, Zone: s.AvailabilityZone, Incarnation: n.members.Incarnation(),
+			Peers: n.pool, Table: n.table,
+		})
+		n.claims = claim.New(claim.Config{
+			Host: s.Host, Zone: s.AvailabilityZone, Address: s.PeerAddress,
+			Incarnation: n.members.Incarnation(), Secret: s.Secret(), Peers: n.pool, Table: n.table,
+		})
+	}
+	n.admission = admission.New(admission.Config{
+		Disabled: s.Limits.DisabledAdmission(), ZonesBindNested: n.adapter.foreign(),
 	})
-	n.admission = admission.New(admission.Config{Disabled: s.Limits.DisabledAdmission()})
 	n.chooser = balance.New(balance.Config{
 		Zone: s.AvailabilityZone, DisableEarlyRefusal: s.Limits.Disabled(settings.EarlyRefusal),
 	})
@@ -122,15 +145,19 @@
 		Admission:    n.admission,
 		Changed:      func(a owner.Announcement) { n.members.Announce(a.Service, a.Slots, a.Cold) },
 		KeyWithdrawn: n.keyWithdrawn,
+		Codec:        n.adapter.Backend,
+		Service:      n.declaredService,
+		IdleTimeout:  n.settings.IdleTimeout(),
 	})
 	if err != nil {
 		return err
 	}
-	n.entry, err = entry.New(entry.Config{
+	config := entry.Config{
 		Host:            n.settings.Host,
+		Service:         n.settings.Service,
+		Codec:           n.adapter.Callers,
+		NoCallTokens:    n.adapter.foreign(),
 		Configuration:   n.configuration,
-		Quota:           n.quota,
-		Claims:          n.claims,
 		Chooser:         n.chooser,
 		Peers:           n.pool,
 		Owner:           n.owner,
@@ -141,10 +168,21 @@
 		ExtraAttempts:   n.settings.Limits.ExtraAttempts,
 		FreeRetries:     n.settings.Limits.Disabled(settings.RetryBudget),
 		DisableThrottle: n.settings.Limits.Disabled(settings.Throttle),
-	})
+	}
+	if n.adapter.foreign() {
+		config.Quota = n.tally
+	} else {
+		config.Quota, config.Claims = n.quota, n.claims
+	}
+	n.entry, err = entry.New(config)
 	return err
 }
 
+// declaredService returns what operators declared of a service.
+func (n *Node) declaredService(name string) object.ServiceSpec {
+	return n.configuration.Snapshot().Services()[name]
+}
+
 // Run serves until ctx ends, then shuts down gracefully and returns. It calls
 // ready once it takes calls.
 func (n *Node) Run(ctx context.Context, ready func()) error {
@@ -156,27 +194,56 @@
 	n.wg.Go(func() { _ = n.peers.Serve(n.listeners.peer) })
 	n.wg.Go(func() { n.members.Run(control) })
 	n.wg.Go(func() { _ = n.configuration.Run(control) })
-	n.wg.Go(func() { _ = n.quota.Run(control) })
-	n.wg.Go(func() { _ = n.claims.Run(control) })
+	if n.adapter.foreign() {
+		n.wg.Go(func() { _ = n.tally.Run(control) })
+		n.serve(n.listeners.ready, n.adapter.Readiness(n.takesCalls))
+	} else {
+		n.wg.Go(func() { _ = n.quota.Run(control) })
+		n.wg.Go(func() { _ = n.claims.Run(control) })
+	}
 	n.wg.Go(func() { n.expireAnnouncements(control) })
 	n.serve(n.listeners.backend, n.backendHandler())
 	n.serve(n.listeners.operator, n.operatorHandler())
+	calls := &drain{handler: n.entry.Callers(), refuse: n.entry.Leaving()}
+	var callers *http.Server
+	if n.adapter.foreign() {
+		// Callers on this host know no other node, so that they are answered
+		// before the configuration is known.
+		callers = n.serve(n.listeners.caller, n.unlessUnconfigured(calls))
+	}
 	select {
 	case <-n.configuration.Ready():
-		calls := &drain{handler: n.entry.Callers(), refuse: n.entry.Leaving()}
-		callers := n.serve(n.listeners.caller, calls)
+		if callers == nil {
+			callers = n.serve(n.listeners.caller, calls)
+		}
+		n.taking.Store(true)
 		eventReady.Log(event.Fields{
 			"host": n.settings.Host, "zone": n.settings.AvailabilityZone,
 			"generation": n.configuration.Snapshot().Generation(),
 		})
 		ready()
 		<-ctx.Done()
+		n.taking.Store(false)
 		n.leave(callers, calls)
 	case <-ctx.Done():
 	}
 	return n.shutDown(stop)
 }
 
+// takesCalls reports whether the node takes new calls.
+func (n *Node) takesCalls() bool { return n.taking.Load() }
+
+// unlessUnconfigured refuses calls while the node knows no configuration.
+func (n *Node) unlessUnconfigured(calls http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if n.configuration.Snapshot().Generation() == 0 {
+			n.entry.Unready().ServeHTTP(w, r)
+			return
+		}
+		calls.ServeHTTP(w, r)
+	})
+}
+
 // leave tells the others that this node takes no new work, goes on serving for
 // a moment, sends callers elsewhere, and finishes the calls in hand.
 func (n *Node) leave(callers *http.Server, calls *drain) {
@@ -185,7 +252,7 @@
 	defer cancel()
 	calls.enter(drainServing)
 	n.members.Leave(ctx)
-	pause(ctx, leaveNotice)
+	pause(ctx, n.settings.LeaveNotice())
 	n.admission.Drain()
 	calls.enter(drainRefusing)
 	pause(ctx, refuseNotice)
@@ -210,8 +277,13 @@
 // shutDown ends all parts, those that others use last.
 func (n *Node) shutDown(stop context.CancelFunc) error {
 	// What could not be given back is logged, and reclaimed by others in time.
-	_ = n.quota.Close()
-	errs := []error{n.claims.Close()}
+	var errs []error
+	if n.adapter.foreign() {
+		_ = n.tally.Close()
+	} else {
+		_ = n.quota.Close()
+		errs = append(errs, n.claims.Close())
+	}
 	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 	defer cancel()
 	for _, server := range n.servers {
@@ -258,13 +330,22 @@
 }
 
 func (n *Node) registerPeers() error {
-	return errors.Join(
-		n.peers.Register("Membership", n.members.RPC()),
-		n.peers.Register("Configuration", n.configuration.RPC()),
-		n.peers.Register("Quota", n.quota.RPC()),
-		n.peers.Register("Claim", n.claims.RPC()),
-		n.peers.Register("Owner", n.owner.RPC()),
-	)
+	receivers := map[string]any{
+		"Membership":              n.members.RPC(),
+		configuration.ServiceName: n.configuration.RPC(),
+		"Owner":                   n.owner.RPC(),
+	}
+	if n.adapter.foreign() {
+		receivers[tally.ServiceName] = n.tally.RPC()
+	} else {
+		receivers["Quota"] = n.quota.RPC()
+		receivers["Claim"] = n.claims.RPC()
+	}
+	var errs []error
+	for name, receiver := range receivers {
+		errs = append(errs, n.peers.Register(name, receiver))
+	}
+	return errors.Join(errs...)
 }
 
 // serve starts an HTTP server whose memory and time for one request are bounded.
--- a/internal/owner/announce.go
+++ b/internal/owner/announce.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"net/http"
 	"net/netip"
+	"strconv"
 	"time"
 
 	"curranthold.example/curranthold/internal/admission"
@@ -51,36 +52,31 @@
 
 // Announce takes in an announcement.
 func (o *Owner) Announce(a Announcement) {
-	if a.Connections == 0 {
-		a.Connections = a.Slots
-	}
-	changed := o.setBackend(a)
-	o.config.Admission.Announce(admission.Announcement{
-		Slots:       a.Slots,
-		Connections: a.Connections,
-		Cold:        a.Cold,
-		Incarnation: a.Incarnation,
-	})
-	if changed {
-		eventAnnounced.Log(event.Fields{"service": a.Service, "address": a.Address, "slots": a.Slots, "cold": a.Cold})
-		o.notify(a)
+	o.announce(a, 0, 0)
+}
+
+// incarnation tells starts of a backend server apart, also those under one name.
+func incarnation(name string, born int64) string {
+	if born == 0 {
+		return name
 	}
+	return name + "/" + strconv.FormatInt(born, 10)
 }
 
 // setBackend replaces the backend server and reports whether it changed.
-func (o *Owner) setBackend(a Announcement) bool {
+func (o *Owner) setBackend(a Announcement, born int64) bool {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.lastSeen = time.Now()
 	old := o.backend
-	if old != nil && old.announcement == a {
+	if old != nil && old.announcement == a && old.born == born {
 		return false
 	}
-	if old != nil && sameConnections(old.announcement, a) {
-		o.backend = &backend{announcement: a, transport: old.transport}
+	if old != nil && old.born == born && sameConnections(old.announcement, a) {
+		o.backend = &backend{announcement: a, born: born, transport: old.transport}
 		return true
 	}
-	o.backend = newBackend(a)
+	o.backend = newBackend(a, born, o.config.IdleTimeout)
 	if old != nil {
 		old.transport.CloseIdleConnections()
 	}
@@ -102,7 +98,7 @@
 	}
 	o.backend = nil
 	o.mu.Unlock()
-	o.config.Admission.Announce(admission.Announcement{Incarnation: old.announcement.Incarnation})
+	o.config.Admission.Announce(admission.Announcement{Incarnation: incarnation(old.announcement.Incarnation, old.born)})
 	eventWithdrawn.Log(event.Fields{"service": service})
 	o.notify(Announcement{})
 }
--- a/internal/owner/backend.go
+++ b/internal/owner/backend.go
@@ -2,19 +2,21 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"errors"
 	"io"
 	"net"
 	"net/http"
 	"net/http/httptrace"
-	"strconv"
+	"net/url"
+	"strings"
 	"syscall"
 	"time"
 
+	"curranthold.example/curranthold/internal/call"
 	"curranthold.example/curranthold/internal/kernel"
 	"curranthold.example/curranthold/internal/retry"
-	"curranthold.example/curranthold/pkg/header"
 	"curranthold.example/curranthold/pkg/verdict"
 )
 
@@ -29,17 +31,20 @@
 // backend is the backend server on this host with the connections to it.
 type backend struct {
 	announcement Announcement
-	transport    *http.Transport
+	// born tells starts under the same name apart; 0 where they are not numbered.
+	born      int64
+	transport *http.Transport
 }
 
-func newBackend(a Announcement) *backend {
+func newBackend(a Announcement, born int64, idle time.Duration) *backend {
 	return &backend{
 		announcement: a,
+		born:         born,
 		transport: &http.Transport{
 			DialContext:         (&net.Dialer{Timeout: connectTimeout}).DialContext,
 			MaxConnsPerHost:     a.Connections,
 			MaxIdleConnsPerHost: max(a.Slots, 1),
-			IdleConnTimeout:     connectionIdleTimeout,
+			IdleConnTimeout:     cmp.Or(idle, connectionIdleTimeout),
 			DisableCompression:  true,
 		},
 	}
@@ -71,7 +76,7 @@
 		}
 		token := o.tokens.issue(w.parent)
 		defer o.tokens.release(token)
-		err := b.exchange(ctx, w, token, o.config.AnswerBytes)
+		err := o.exchange(ctx, b, w, token)
 		if errors.Is(err, errGone) {
 			o.Withdraw(b.announcement.Service)
 		}
@@ -81,28 +86,30 @@
 
 // exchange performs one HTTP exchange. The verdict of its error is NotRun only
 // if no connection was had, or if the backend server refused by protocol.
-func (b *backend) exchange(ctx context.Context, w *work, token string, limit int64) error {
-	connected := false
-	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected = true }}
-	request, err := b.newRequest(httptrace.WithClientTrace(ctx, trace), w, token)
+func (o *Owner) exchange(ctx context.Context, b *backend, w *work, token string) error {
+	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { w.answer.Offered = true }}
+	request, err := o.newRequest(httptrace.WithClientTrace(ctx, trace), b, w, token)
 	if err != nil {
 		return verdict.New(verdict.NotRun, verdict.BadRequest, "%v", err)
 	}
 	response, err := b.transport.RoundTrip(request)
 	if err != nil {
-		return brokenExchange(ctx, err, connected)
+		return brokenExchange(ctx, err, w.answer.Offered)
 	}
 	defer func() { _ = response.Body.Close() }()
-	return readAnswer(ctx, w, response, limit)
+	return o.readAnswer(ctx, w, response)
 }
 
-func (b *backend) newRequest(ctx context.Context, w *work, token string) (*http.Request, error) {
+func (o *Owner) newRequest(ctx context.Context, b *backend, w *work, token string) (*http.Request, error) {
 	r := w.request
-	url := "http://" + b.announcement.Address + r.Target
-	request, err := http.NewRequestWithContext(ctx, r.Method, url, onceBody{bytes.NewReader(r.Body)})
+	request, err := http.NewRequestWithContext(ctx, r.Method, "http://"+b.announcement.Address, onceBody{bytes.NewReader(r.Body)})
 	if err != nil {
 		return nil, err
 	}
+	if request.URL, err = requestURL(b.announcement.Address, r.Target); err != nil {
+		return nil, err
+	}
+	request.Host = r.Host
 	request.ContentLength = int64(len(r.Body))
 	request.Header = r.Header.Clone()
 	if request.Header == nil {
@@ -112,19 +119,24 @@
 	if deadline, ok := ctx.Deadline(); ok {
 		remaining = time.Until(deadline)
 	}
-	request.Header.Del(header.Key)
-	request.Header.Set(header.CallToken, token)
-	request.Header.Set(header.RequestID, r.RequestID)
-	request.Header.Set(header.Account, r.Account)
-	request.Header.Set(header.Route, r.Route)
-	request.Header.Set(header.Urgency, r.Urgency.String())
-	request.Header.Set(header.Deadline, strconv.FormatInt(remaining.Milliseconds(), 10))
-	if r.IdempotencyKey != "" {
-		request.Header.Set(header.IdempotencyKey, r.IdempotencyKey)
+	if _, stated := request.Header["User-Agent"]; !stated {
+		request.Header.Set("User-Agent", "") // net/http would add its own.
 	}
+	o.config.Codec.WriteRequest(request.Header, Outgoing{
+		Request: r, Remaining: remaining, Token: token, Incarnation: b.announcement.Incarnation,
+	})
 	return request, nil
 }
 
+// requestURL returns the URL of a request whose path and query reach the backend
+// server as the caller wrote them.
+func requestURL(address, target string) (*url.URL, error) {
+	if strings.HasPrefix(target, "/") && !strings.HasPrefix(target, "//") {
+		return &url.URL{Scheme: "http", Host: address, Opaque: target}, nil
+	}
+	return url.Parse("http://" + address + target)
+}
+
 // brokenExchange returns the error of an exchange without an answer.
 func brokenExchange(ctx context.Context, err error, connected bool) error {
 	v := verdict.MayHaveRun
@@ -147,16 +159,14 @@
 }
 
 // readAnswer takes in the whole answer, or an error that says why there is none.
-func readAnswer(ctx context.Context, w *work, response *http.Response, limit int64) error {
-	if id := response.Header.Get(header.RequestID); id != "" && id != w.request.RequestID {
-		response.Close = true
-		return verdict.New(verdict.MayHaveRun, verdict.AnswerMismatch,
-			"the backend server answered another request")
-	}
-	if refusal := response.Header.Get(header.Refused); refusal != "" {
-		// A connection whose answer was read to its end is used again.
-		_, _ = io.Copy(io.Discard, io.LimitReader(response.Body, limit))
-		return verdict.New(verdict.NotRun, verdict.BackendRefused, "the backend server refused: %s", refusal)
+func (o *Owner) readAnswer(ctx context.Context, w *work, response *http.Response) error {
+	limit := o.config.AnswerBytes
+	if err := o.config.Codec.Judge(w.request, response); err != nil {
+		if verdict.Of(err) == verdict.NotRun {
+			// A connection whose answer was read to its end is used again.
+			_, _ = io.Copy(io.Discard, io.LimitReader(response.Body, limit))
+		}
+		return err
 	}
 	body, err := io.ReadAll(io.LimitReader(response.Body, limit+1))
 	if err != nil {
@@ -166,21 +176,7 @@
 		return verdict.New(verdict.Ran, verdict.AnswerTooLarge, "the answer exceeds %d bytes", limit)
 	}
 	w.answer.Status = response.StatusCode
-	w.answer.Header = forwardedHeader(response.Header)
+	w.answer.Header = call.EndToEnd(response.Header)
 	w.answer.Body = body
 	return nil
 }
-
-// hopHeaders belong to one connection and are not passed on.
-var hopHeaders = []string{
-	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization",
-	"Te", "Trailer", "Transfer-Encoding", "Upgrade", "Content-Length",
-}
-
-func forwardedHeader(h http.Header) http.Header {
-	h = h.Clone()
-	for _, name := range hopHeaders {
-		h.Del(name)
-	}
-	return h
-}
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -12,6 +12,7 @@
 	"curranthold.example/curranthold/internal/admission"
 	"curranthold.example/curranthold/internal/call"
 	"curranthold.example/curranthold/internal/kernel"
+	"curranthold.example/curranthold/pkg/object"
 	"curranthold.example/curranthold/pkg/verdict"
 )
 
@@ -23,6 +24,9 @@
 
 // Config says what an owner is built from.
 type Config struct {
+	// Codec writes and reads the headers of the backend server; nil stands for
+	// the project's own interface.
+	Codec Codec
 	// AnswerBytes bounds the body of a backend server's answer.
 	AnswerBytes int64
 	Admission   *admission.Controller
@@ -32,6 +36,11 @@
 	// KeyWithdrawn reports whether the key of that name is known to be
 	// withdrawn. It may be nil.
 	KeyWithdrawn func(name string) bool
+	// Service returns what is declared of a service. It may be nil.
+	Service func(name string) object.ServiceSpec
+	// IdleTimeout is how long an unused connection to the backend server is kept;
+	// 0 stands for a minute.
+	IdleTimeout time.Duration
 }
 
 // work is one call at its owner.
@@ -53,10 +62,16 @@
 	backend  *backend
 	running  map[string]context.CancelFunc
 	lastSeen time.Time
+	lifetime lifetime
+	// departed holds the starts that have left, by name.
+	departed map[string]int64
 }
 
 // New returns an owner without a backend server.
 func New(config Config) (*Owner, error) {
+	if config.Codec == nil {
+		config.Codec = ownCodec{}
+	}
 	o := &Owner{config: config, running: make(map[string]context.CancelFunc)}
 	handler, err := stages.Build(o, path...)
 	if err != nil {
--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -61,24 +61,28 @@
 	if config.Timeout <= 0 {
 		config.Timeout = defaultTimeout
 	}
-	dialer := &net.Dialer{Timeout: config.Timeout, KeepAlive: keepAlive}
-	transport := &http.Transport{
-		DialContext:         dialer.DialContext,
-		MaxConnsPerHost:     maxConns,
-		MaxIdleConnsPerHost: maxConns,
-		IdleConnTimeout:     idleTimeout,
-		DisableCompression:  true,
-	}
+	transport := newTransport(config.Timeout)
 	client := &http.Client{Transport: transport, CheckRedirect: refuseRedirect}
 	c := &Client{
-		table:     service{name: "table", address: config.TableAddress, timeout: config.Timeout, http: client},
+		table:     service{name: "table", address: config.TableAddress, timeout: config.Timeout, http: client, classify: classify},
 		transport: transport,
 	}
 	c.objects.client = c
-	c.objects.service = service{name: "object-store", address: config.StoreAddress, timeout: config.Timeout, http: client}
+	c.objects.service = service{name: "object-store", address: config.StoreAddress, timeout: config.Timeout, http: client, classify: classify}
 	return c
 }
 
+func newTransport(timeout time.Duration) *http.Transport {
+	dialer := &net.Dialer{Timeout: timeout, KeepAlive: keepAlive}
+	return &http.Transport{
+		DialContext:         dialer.DialContext,
+		MaxConnsPerHost:     maxConns,
+		MaxIdleConnsPerHost: maxConns,
+		IdleConnTimeout:     idleTimeout,
+		DisableCompression:  true,
+	}
+}
+
 // refuseRedirect hands a redirect to the client as an answer, since following
 // one would send a write twice.
 func refuseRedirect(*http.Request, []*http.Request) error {
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -22,6 +22,9 @@
 	ErrUnknown = errors.New("platform: outcome unknown")
 	// ErrNotFound means that the object store has no such object.
 	ErrNotFound = errors.New("platform: not found")
+	// ErrHistoryLost means that the service no longer has the changes that were
+	// asked for.
+	ErrHistoryLost = errors.New("platform: history lost")
 	// ErrRefused means that the request itself was at fault, such as one that
 	// is too large; nothing was written, and repeating it can't help.
 	ErrRefused = errors.New("platform: request refused")
--- a/internal/platform/service.go
+++ b/internal/platform/service.go
@@ -22,6 +22,8 @@
 	timeout time.Duration
 	http    *http.Client
 	circuit circuit
+	// classify turns an answer that is not 200 into an error.
+	classify func(a answer, write bool) error
 }
 
 // request is one exchange with a service.
@@ -34,6 +36,8 @@
 	write bool
 	// maxAnswer bounds the answer, in bytes.
 	maxAnswer int64
+	// patience is how long the service itself may wait before it answers.
+	patience time.Duration
 }
 
 // answer is what a service returned.
@@ -88,7 +92,7 @@
 
 // exchange sends r and classifies what comes back.
 func (s *service) exchange(ctx context.Context, r request) ([]byte, error) {
-	ctx, cancel := context.WithTimeout(ctx, s.timeout)
+	ctx, cancel := context.WithTimeout(ctx, s.timeout+r.patience)
 	defer cancel()
 	var connected atomic.Bool
 	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
@@ -101,7 +105,7 @@
 	case a.status == http.StatusOK:
 		return a.body, nil
 	default:
-		return nil, classify(a, r.write)
+		return nil, s.classify(a, r.write)
 	}
 }
 
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -36,6 +36,15 @@
 	PeerListenAddress string `json:"peer-listen-address"`
 	// OperatorAddress serves the resource API and the metrics.
 	OperatorAddress string `json:"operator-address"`
+	// ReadyAddress answers the platform's question whether the node takes calls;
+	// empty where the platform does not ask.
+	ReadyAddress string `json:"ready-address"`
+	// Service is that of the backend server on this host, where the settings
+	// say it.
+	Service string `json:"service"`
+	// ServerAddress is where the backend server on this host takes calls, where
+	// the settings say it; else it announces its address.
+	ServerAddress string `json:"server-address"`
 	// Seeds are peer addresses of other nodes, tried when this one starts.
 	Seeds    []string `json:"seeds"`
 	Platform Platform `json:"platform"`
@@ -76,6 +85,16 @@
 	ExtraAttempts int `json:"extra-attempts"`
 	// ShutdownMs bounds a graceful shutdown.
 	ShutdownMs int `json:"shutdown-ms"`
+	// LeaveNoticeMs is how long a leaving node still takes calls while callers
+	// and other nodes learn that it leaves.
+	LeaveNoticeMs int `json:"leave-notice-ms"`
+	// RetrySlack is how many retries all nodes together may make beyond their
+	// share of the first attempts.
+	RetrySlack int `json:"retry-slack"`
+	// MemoryBytes is what the process may use; 0 sets no limit.
+	MemoryBytes int `json:"memory-bytes"`
+	// IdleMs is how long an unused connection to the backend server is kept.
+	IdleMs int `json:"idle-ms"`
 	// DisabledMechanisms names mechanisms that are switched off, to measure what
 	// each is worth. It is for trials only.
 	DisabledMechanisms []string `json:"disabled-mechanisms"`
@@ -105,7 +124,7 @@
 
 // Parse checks the source, naming the file in its mistakes.
 func Parse(file string, source []byte) (Settings, error) {
-	s := defaults()
+	s := Default()
 	value, err := hujson.Parse(source)
 	if err != nil {
 		return s, Mistakes{{File: file, Line: 1, Message: err.Error()}}
@@ -121,7 +140,8 @@
 	return s, nil
 }
 
-func defaults() Settings {
+// Default returns the settings with what a file need not state.
+func Default() Settings {
 	return Settings{
 		Platform: Platform{TimeoutMs: 1000},
 		Limits: Limits{
@@ -132,6 +152,8 @@
 			DefaultTimeoutMs: 2000,
 			ExtraAttempts:    3,
 			ShutdownMs:       10_000,
+			LeaveNoticeMs:    1000,
+			IdleMs:           60_000,
 		},
 	}
 }
@@ -153,6 +175,12 @@
 // timeout.
 func (s Settings) DefaultTimeout() time.Duration { return milliseconds(s.Limits.DefaultTimeoutMs) }
 
+// LeaveNotice is how long a leaving node still takes calls.
+func (s Settings) LeaveNotice() time.Duration { return milliseconds(s.Limits.LeaveNoticeMs) }
+
+// IdleTimeout is how long an unused connection to the backend server is kept.
+func (s Settings) IdleTimeout() time.Duration { return milliseconds(s.Limits.IdleMs) }
+
 // Shutdown bounds a graceful shutdown.
 func (s Settings) Shutdown() time.Duration { return milliseconds(s.Limits.ShutdownMs) }
 
--- /dev/null
+++ b/internal/tally/account.go
@@ -0,0 +1,117 @@
+package tally
+
+import (
+	"math"
+	"time"
+)
+
+// account is what a host knows of one client account. It is not safe for
+// concurrent use.
+type account struct {
+	name  string
+	limit Limit
+	// level is the estimate of the tokens left as of updated.
+	level   float64
+	updated time.Time
+	// others and refill are the home's last word.
+	others, refill float64
+	// total counts what this host spent, reported what the home was told.
+	total, reported uint64
+	// sent and answered are the times of the last report and of the last one
+	// that was answered.
+	sent, answered time.Time
+	// rate is what this host spends, in requests a second, as of measured.
+	rate     float64
+	measured time.Time
+	counted  uint64
+}
+
+func newAccount(name string, limit Limit, now time.Time) *account {
+	return &account{
+		name: name, limit: limit, refill: limit.Rate, level: limit.capacity() / startShare,
+		updated: now, answered: now, measured: now,
+	}
+}
+
+func (a *account) setLimit(limit Limit) {
+	if a.limit.Rate > 0 {
+		a.refill *= limit.Rate / a.limit.Rate
+	} else {
+		a.refill = limit.Rate
+	}
+	a.limit = limit
+	a.level = min(a.level, limit.capacity())
+}
+
+// advance brings the estimate up to now. Share is this host's part of the rate
+// where no home answers.
+func (a *account) advance(now time.Time, share float64) {
+	elapsed := now.Sub(a.updated).Seconds()
+	if elapsed <= 0 {
+		return
+	}
+	a.updated = now
+	growth := a.refill - a.others
+	if now.Sub(a.answered) > isolatedAfter && a.total != a.reported {
+		growth = max(a.limit.Rate*share, min(a.rate, a.limit.Rate/2))
+	}
+	a.level = min(a.level+growth*elapsed, a.limit.capacity())
+}
+
+// spend takes a token and reports whether there was one.
+func (a *account) spend(now time.Time, share float64) bool {
+	if a.limit.Rate <= 0 {
+		return true
+	}
+	a.advance(now, share)
+	if a.level < 1 {
+		return false
+	}
+	a.level--
+	a.total++
+	return true
+}
+
+// wait returns how long it takes until the next token.
+func (a *account) wait() time.Duration {
+	growth := max(a.refill-a.others, a.limit.Rate/100, 0.01)
+	return time.Duration((1 - a.level) / growth * float64(time.Second))
+}
+
+// due reports whether the home is to be told of what was spent. Hosts is the
+// number of hosts that may hold back as much as this one.
+func (a *account) due(now time.Time, hosts int) bool {
+	unreported := float64(a.total - a.reported)
+	if unreported == 0 {
+		return false
+	}
+	return now.Sub(a.sent) >= calmInterval ||
+		a.level < a.limit.capacity()/urgentShare ||
+		unreported*float64(max(hosts, 1)) >= a.limit.Rate*lateness.Seconds()
+}
+
+// measure updates the rate at which this host spends.
+func (a *account) measure(now time.Time) {
+	elapsed := now.Sub(a.measured)
+	if elapsed < reportInterval {
+		return
+	}
+	a.rate = smooth(a.rate, float64(a.total-a.counted)/elapsed.Seconds(), elapsed)
+	a.measured = now
+	a.counted = a.total
+}
+
+// smooth moves a rate towards what was measured over the elapsed time.
+func smooth(rate, measured float64, elapsed time.Duration) float64 {
+	keep := math.Exp(-float64(elapsed) / float64(rateMemory))
+	return rate*keep + measured*(1-keep)
+}
+
+// learn takes the home's answer to a report of total.
+func (a *account) learn(now time.Time, total uint64, s State) {
+	a.answered = now
+	a.reported = max(a.reported, total)
+	a.others, a.refill = s.Others, s.Refill
+	a.level = min(s.Level-float64(a.total-total), a.limit.capacity())
+	a.updated = now
+}
--- a/pkg/object/object.go
+++ b/pkg/object/object.go
@@ -45,6 +45,8 @@
 	Rate float64 `json:"rate"`
 	// Burst is in requests, at least 1.
 	Burst float64 `json:"burst"`
+	// Urgency, where stated, goes before that of the route.
+	Urgency *Urgency `json:"urgency,omitempty"`
 }
 
 // KeySpec declares a key of a client account. The secret itself is never kept.
@@ -53,6 +55,9 @@
 	// Salt and Hash are hexadecimal; Hash is SHA-256 over salt and secret.
 	Salt string `json:"salt"`
 	Hash string `json:"hash"`
+	// Digest stands in place of Salt and Hash for a key that was made elsewhere:
+	// the SHA-256 of the whole key, in hexadecimal.
+	Digest string `json:"digest,omitempty"`
 	// Withdrawn stops the key for good.
 	Withdrawn bool `json:"withdrawn"`
 }
@@ -61,21 +66,50 @@
 type RouteSpec struct {
 	// Method is an HTTP method; empty matches every method.
 	Method string `json:"method,omitempty"`
+	// Host is the name in the Host header that the route serves; empty matches
+	// every name. A route with a host is matched against the path as it was sent.
+	Host string `json:"host,omitempty"`
 	// PathPrefix matches whole path segments; the longest match wins.
-	PathPrefix string  `json:"path-prefix"`
-	Service    string  `json:"service"`
-	Urgency    Urgency `json:"urgency"`
+	PathPrefix string `json:"path-prefix"`
+	Service    string `json:"service"`
+	// Splits spreads the route's requests over several services, in place of
+	// Service.
+	Splits  []Split `json:"splits,omitempty"`
+	Urgency Urgency `json:"urgency"`
 	// NonRepeatable requests are never sent again once they may have run.
 	NonRepeatable bool `json:"non-repeatable,omitempty"`
 	// Open routes need no key; their calls belong to no client account.
 	Open bool `json:"open,omitempty"`
 	// TimeoutMs bounds a call without a deadline of its own, in milliseconds.
 	TimeoutMs int `json:"timeout-ms,omitempty"`
+	// ObjectiveMs is the time within which an answer is worth most, in
+	// milliseconds. 0 states none.
+	ObjectiveMs int `json:"objective-ms,omitempty"`
+	// Attempts is the most backend servers that one request is sent to; 0 leaves
+	// it to the node's settings.
+	Attempts int `json:"attempts,omitempty"`
+}
+
+// Split is one part of a route's requests.
+type Split struct {
+	Service string `json:"service"`
+	// Weight is the part's share against the other parts.
+	Weight float64 `json:"weight"`
 }
 
 // ServiceSpec declares a service, which backend servers announce themselves for.
 type ServiceSpec struct {
 	Description string `json:"description,omitempty"`
+	// HealthPath is where a backend server answers questions about its health.
+	HealthPath string `json:"health-path,omitempty"`
+	// Connections is the most that one backend server accepts; 0 leaves it to
+	// its announcement.
+	Connections int `json:"connections,omitempty"`
+	// ColdMs is how long a backend server is cold after its start, in
+	// milliseconds, and ColdRate how many requests a second it bears meanwhile.
+	// A ColdRate of 0 states no bound.
+	ColdMs   int     `json:"cold-ms,omitempty"`
+	ColdRate float64 `json:"cold-rate,omitempty"`
 }
 
 // AvailabilityZoneSpec declares whether an availability zone takes new work.
--- a/pkg/object/validate.go
+++ b/pkg/object/validate.go
@@ -71,6 +71,12 @@
 // Validate implements Spec.
 func (s KeySpec) Validate() FieldErrors {
 	errs := validateName("client-account", s.ClientAccount)
+	if s.Digest != "" {
+		if raw, err := hex.DecodeString(s.Digest); err != nil || len(raw) != hashBytes {
+			errs = append(errs, FieldError{"digest", "the digest is not valid", fmt.Sprintf("hexadecimal, %d bytes", hashBytes)})
+		}
+		return errs
+	}
 	if raw, err := hex.DecodeString(s.Salt); err != nil || len(raw) != saltBytes {
 		errs = append(errs, FieldError{"salt", "the salt is not valid", fmt.Sprintf("hexadecimal, %d bytes", saltBytes)})
 	}
@@ -90,7 +96,7 @@
 		errs = append(errs, FieldError{"method", "there is no method " + quote(s.Method), "an HTTP method in capitals; leave it out to match every method"})
 	}
 	errs = append(errs, validatePathPrefix(s.PathPrefix)...)
-	errs = append(errs, validateName("service", s.Service)...)
+	errs = append(errs, s.validateServices()...)
 	if !s.Urgency.Valid() {
 		errs = append(errs, FieldError{"urgency", "there is no " + s.Urgency.String(), "one of urgent, normal, deferrable"})
 	}
@@ -100,6 +106,22 @@
 	return errs
 }
 
+// validateServices checks where the route's requests go.
+func (s RouteSpec) validateServices() FieldErrors {
+	if len(s.Splits) == 0 {
+		return validateName("service", s.Service)
+	}
+	var errs FieldErrors
+	for i, part := range s.Splits {
+		field := fmt.Sprintf("splits[%d]", i)
+		errs = append(errs, validateName(field+".service", part.Service)...)
+		if !(part.Weight >= 0 && part.Weight <= maxRate) {
+			errs = append(errs, FieldError{field + ".weight", "the weight is " + number(part.Weight), "at least 0 and at most " + number(maxRate)})
+		}
+	}
+	return errs
+}
+
 // Kind implements Spec.
 func (ServiceSpec) Kind() Kind { return KindService }
 
