Have a host that refuses for the rate ask the account's home again

Ruled out: the margin of the bucket (the refusals grew with the time since the last answer, not with the load).

Change: a refusal makes a report due. TestLoweredLimit and TestCutZone fail without it (0 of 400 let through; 630 of 800 in the cut).

--- a/internal/tally/account.go
+++ b/internal/tally/account.go
@@ -20,6 +20,8 @@
 	// sent and answered are the times of the last report and of the last one
 	// that was answered.
 	sent, answered time.Time
+	// refused is set once a request was refused since the last report.
+	refused bool
 	// rate is what this host spends, in requests a second, as of measured.
 	rate     float64
 	measured time.Time
@@ -52,7 +54,7 @@
 	}
 	a.updated = now
 	growth := a.refill - a.others
-	if now.Sub(a.answered) > isolatedAfter && a.total != a.reported {
+	if now.Sub(a.answered) > isolatedAfter && (a.refused || a.total != a.reported) {
 		growth = max(a.limit.Rate*share, min(a.rate, a.limit.Rate/2))
 	}
 	a.level = min(a.level+growth*elapsed, a.limit.capacity())
@@ -65,6 +67,7 @@
 	}
 	a.advance(now, share)
 	if a.level < 1 {
+		a.refused = true
 		return false
 	}
 	a.level--
@@ -78,10 +81,14 @@
 	return time.Duration((1 - a.level) / growth * float64(time.Second))
 }
 
-// due reports whether the home is to be told of what was spent. Hosts is the
+// due reports whether the home is to be told of what was spent, or asked for
+// its estimate because a request was refused by this host's own. Hosts is the
 // number of hosts that may hold back as much as this one.
 func (a *account) due(now time.Time, hosts int) bool {
 	unreported := float64(a.total - a.reported)
+	if a.refused {
+		return true
+	}
 	if unreported == 0 {
 		return false
 	}
--- a/internal/tally/manager.go
+++ b/internal/tally/manager.go
@@ -185,6 +185,7 @@
 			reports[home] = args
 		}
 		a.sent = now
+		a.refused = false
 		a.advance(now, m.share())
 		args.Spendings = append(args.Spendings, Spending{Account: a.name, Total: a.total, Unreported: a.total - a.reported, Level: a.level})
 	}
--- /dev/null
+++ b/internal/tally/tally_test.go
@@ -0,0 +1,178 @@
+package tally
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// network carries reports between the managers of a test.
+type network struct {
+	managers map[string]*Manager
+	// cut holds the addresses that cannot be reached from each host.
+	cut map[string]map[string]bool
+}
+
+// line is one host's way to the others.
+type line struct {
+	network *network
+	host    string
+}
+
+var errCut = errors.New("cut")
+
+func (l line) Call(_ context.Context, address, _ string, args, reply any) error {
+	time.Sleep(2 * time.Millisecond)
+	if l.network.cut[l.host][address] || l.network.managers[address] == nil {
+		return errCut
+	}
+	return l.network.managers[address].RPC().(*RPC).Report(args.(*ReportArgs), reply.(*ReportReply))
+}
+
+// fleet starts n managers that know each other, two zones of half of them.
+func fleet(ctx context.Context, n int, limit Limit) *network {
+	net := &network{managers: make(map[string]*Manager), cut: make(map[string]map[string]bool)}
+	var hosts []Host
+	for i := range n {
+		id := fmt.Sprintf("host-%d", i)
+		hosts = append(hosts, Host{ID: id, Zone: fmt.Sprintf("zone-%d", 2*i/n), Address: id})
+	}
+	for _, h := range hosts {
+		m := New(Config{Host: h.ID, Zone: h.Zone, Peers: line{network: net, host: h.ID}})
+		m.SetAccounts(map[string]Limit{"account": limit})
+		m.SetHosts(hosts, nil)
+		net.managers[h.ID] = m
+		go func() { _ = m.Run(ctx) }()
+	}
+	return net
+}
+
+// demand spends at each host the given number of requests a second, and returns
+// when requests were let through.
+func (n *network) demand(perHost float64, d time.Duration) (let []time.Time, asked int) {
+	const step = 10 * time.Millisecond
+	owed := 0.0
+	for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(step) {
+		for owed += perHost * step.Seconds(); owed >= 1; owed-- {
+			for _, m := range n.managers {
+				asked++
+				if m.Spend(context.Background(), "account") == nil {
+					let = append(let, time.Now())
+				}
+			}
+		}
+	}
+	return let, asked
+}
+
+// most returns the most events in any window.
+func most(events []time.Time, window time.Duration) int {
+	best, first := 0, 0
+	for i, at := range events {
+		for at.Sub(events[first]) > window {
+			first++
+		}
+		best = max(best, i-first+1)
+	}
+	return best
+}
+
+const (
+	window   = 5 * time.Second
+	overage  = 1.1
+	overSlot = 20
+)
+
+// TestDemand checks what is let through at loads below and above the limit, and
+// after a host's estimate was wrong.
+func TestDemand(t *testing.T) {
+	limit := Limit{Rate: 100, Burst: 100}
+	tests := map[string]struct {
+		perHost float64
+		least   float64
+	}{
+		"within the rate":        {perHost: 7, least: 0.995},
+		"just below the rate":    {perHost: 9.5, least: 0.97},
+		"several times the rate": {perHost: 50, least: 0.19},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				ctx, cancel := context.WithCancel(t.Context())
+				defer cancel()
+				n := fleet(ctx, 10, limit)
+				time.Sleep(time.Second)
+				let, asked := n.demand(test.perHost, 30*time.Second)
+				bound := (limit.Rate*window.Seconds()+limit.Burst)*overage + overSlot
+				qt.Check(t, float64(most(let, window)) <= bound, qt.IsTrue, qt.Commentf("%d in a window", most(let, window)))
+				qt.Check(t, float64(len(let))/float64(asked) >= test.least, qt.IsTrue, qt.Commentf("%d of %d", len(let), asked))
+			})
+		})
+	}
+}
+
+// TestLoweredLimit has demand fall below a lowered limit again: a host that only
+// refuses must hear that there are tokens.
+func TestLoweredLimit(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		n := fleet(ctx, 10, Limit{Rate: 200, Burst: 200})
+		n.demand(15, 5*time.Second)
+		for _, m := range n.managers {
+			m.SetAccounts(map[string]Limit{"account": {Rate: 50, Burst: 50}})
+		}
+		n.demand(15, 5*time.Second)
+		let, asked := n.demand(4, 10*time.Second)
+		qt.Check(t, float64(len(let))/float64(asked) > 0.95, qt.IsTrue, qt.Commentf("%d of %d", len(let), asked))
+	})
+}
+
+// TestCutZone has the two zones cut off from each other under an excess of
+// demand in both: together they keep to the limit.
+func TestCutZone(t *testing.T) {
+	limit := Limit{Rate: 100, Burst: 100}
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		n := fleet(ctx, 10, limit)
+		var let []time.Time
+		first, _ := n.demand(40, 5*time.Second)
+		n.cutZones()
+		second, _ := n.demand(40, time.Second)
+		n.lose()
+		third, _ := n.demand(40, 10*time.Second)
+		let = append(append(append(let, first...), second...), third...)
+		bound := (limit.Rate*window.Seconds()+limit.Burst)*overage + overSlot
+		qt.Check(t, float64(most(let, window)) <= bound, qt.IsTrue, qt.Commentf("%d in a window", most(let, window)))
+		qt.Check(t, len(third) > 800, qt.IsTrue, qt.Commentf("%d let through in 10 s", len(third)))
+	})
+}
+
+// cutZones cuts the two zones off from each other.
+func (n *network) cutZones() {
+	for id, m := range n.managers {
+		n.cut[id] = make(map[string]bool)
+		for other, o := range n.managers {
+			n.cut[id][other] = o.config.Zone != m.config.Zone
+		}
+	}
+}
+
+// lose has every manager learn that the hosts it cannot reach are gone.
+func (n *network) lose() {
+	for id, m := range n.managers {
+		var hosts []Host
+		for other, o := range n.managers {
+			if !n.cut[id][other] {
+				hosts = append(hosts, Host{ID: other, Zone: o.config.Zone, Address: other})
+			}
+		}
+		m.SetHosts(hosts, nil)
+	}
+}
