Outlive SIGHUP, notice silent hosts, share the retries in advance

Open connections to hosts without power hung until their deadline, and each node held 10 retries in advance where the fleet may make 48.

Change: SIGHUP has the settings read anew; connections have TCP_USER_TIMEOUT and keep-alives; a host that answers nothing for 250 ms is asked whether it is there; the bucket of retries is the node's part of half of the fleet's.

--- a/cmd/currantholdd/run.go
+++ b/cmd/currantholdd/run.go
@@ -45,14 +45,22 @@
 		return status
 	}
 	n, err := node.New(s)
-	return runNode(ctx, n, err, s.CallerAddress)
+	reload := func() (settings.Settings, error) { return settings.Load(c.settingsFile) }
+	return runNode(ctx, n, err, s.CallerAddress, reload)
 }
 
-// runNode runs a node that was built, or says why it was not.
-func runNode(ctx context.Context, n *node.Node, err error, address string) subcommands.ExitStatus {
+// runNode runs a node that was built, or says why it was not. SIGHUP has it take
+// in its settings anew.
+func runNode(
+	ctx context.Context, n *node.Node, err error, address string, load func() (settings.Settings, error),
+) subcommands.ExitStatus {
 	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	defer signal.Stop(hangups)
 	if err == nil {
+		go reloadOn(ctx, hangups, n, load)
 		err = n.Run(ctx, func() { fmt.Println("ready", address) })
 	}
 	if err != nil {
@@ -62,6 +70,19 @@
 	return subcommands.ExitSuccess
 }
 
+// reloadOn has the node take in its settings with each signal.
+func reloadOn(ctx context.Context, signals <-chan os.Signal, n *node.Node, load func() (settings.Settings, error)) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-signals:
+			s, err := load()
+			n.Reload(s, err)
+		}
+	}
+}
+
 // loadSettings reads the file and prints its mistakes.
 func loadSettings(file string) (settings.Settings, subcommands.ExitStatus) {
 	if file == "" {
--- a/cmd/currantholdd/sidecar.go
+++ b/cmd/currantholdd/sidecar.go
@@ -10,6 +10,7 @@
 	"github.com/google/subcommands"
 
 	"curranthold.example/curranthold/internal/node"
+	"curranthold.example/curranthold/internal/settings"
 	"curranthold.example/curranthold/platform"
 )
 
@@ -38,12 +39,15 @@
 
 // Execute implements subcommands.Command.
 func (*sidecarCommand) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
-	s, err := platform.LoadSettings(os.Getenv(platform.SettingsVariable))
+	load := func() (settings.Settings, error) {
+		return platform.LoadSettings(os.Getenv(platform.SettingsVariable))
+	}
+	s, err := load()
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return subcommands.ExitUsageError
 	}
 	debug.SetMemoryLimit(int64(s.Limits.MemoryBytes))
 	n, err := node.NewAdapted(s, platform.New(s))
-	return runNode(ctx, n, err, s.CallerAddress)
+	return runNode(ctx, n, err, s.CallerAddress, load)
 }
--- a/internal/call/call.go
+++ b/internal/call/call.go
@@ -88,6 +88,12 @@
 	return a.ID == r.ID && a.Checksum == xxhash.Sum64(a.Body)
 }
 
+// Ping asks an owner whether it is there.
+type Ping struct {
+	// Host names the host that asks.
+	Host string
+}
+
 // Cancel asks an owner to abandon the call with the given attempt identifier.
 type Cancel struct {
 	ID string
--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -5,10 +5,12 @@
 	"errors"
 	"math/rand/v2"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"curranthold.example/curranthold/internal/balance"
 	"curranthold.example/curranthold/internal/call"
+	"curranthold.example/curranthold/internal/event"
 	"curranthold.example/curranthold/internal/kernel"
 	"curranthold.example/curranthold/internal/peer"
 	"curranthold.example/curranthold/internal/retry"
@@ -175,10 +177,13 @@
 			cancel()
 		}
 	})()
+	stop := e.watchAttempt(patient, host, request, cancel)
 	err := e.config.Peers.Call(patient, host.Address, "Owner.Call", request, answer)
+	silent := stop()
 	if err != nil {
-		return nil, e.unanswered(ctx, host, request, err)
+		return nil, e.unanswered(ctx, host, request, err, silent)
 	}
+	e.presence.heard(host.ID, time.Now())
 	if !answer.Matches(request) {
 		return nil, verdict.New(verdict.MayHaveRun, verdict.AnswerMismatch,
 			"host %s sent a damaged answer or one to another call", host.ID)
@@ -186,8 +191,30 @@
 	return answer, nil
 }
 
+// watchAttempt gives up an attempt at a host that falls silent, if the request may
+// be sent to another. The function that it returns ends the watch and reports
+// whether the host fell silent.
+func (e *Entry) watchAttempt(ctx context.Context, host balance.Host, request *call.Request, giveUp func()) (stop func() bool) {
+	watched, cancel := context.WithCancel(ctx)
+	var silent atomic.Bool
+	e.wg.Go(func() {
+		e.watch(watched, host, func() {
+			silent.Store(true)
+			e.config.Chooser.Failed(host.ID, time.Now())
+			eventSilent.Log(event.Fields{"host": host.ID, "zone": host.Zone, "request": request.RequestID})
+			if !request.NonRepeatable {
+				giveUp()
+			}
+		})
+	})
+	return func() bool {
+		cancel()
+		return silent.Load()
+	}
+}
+
 // unanswered returns the error of a peer call that brought no answer.
-func (e *Entry) unanswered(ctx context.Context, host balance.Host, request *call.Request, err error) error {
+func (e *Entry) unanswered(ctx context.Context, host balance.Host, request *call.Request, err error, silent bool) error {
 	if errors.Is(err, peer.ErrNotSent) {
 		e.config.Chooser.Failed(host.ID, time.Now())
 		return verdict.New(verdict.NotRun, verdict.PeerUnreachable, "host %s: %v", host.ID, err)
@@ -196,7 +223,9 @@
 	if errors.Is(ctx.Err(), context.Canceled) {
 		return verdict.New(verdict.MayHaveRun, verdict.Cancelled, "the caller went away")
 	}
-	e.config.Chooser.Failed(host.ID, time.Now())
+	if !silent {
+		e.config.Chooser.Failed(host.ID, time.Now())
+	}
 	if ctx.Err() != nil {
 		return verdict.New(verdict.MayHaveRun, verdict.DeadlineExceeded, "host %s did not answer in time", host.ID)
 	}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -103,6 +103,8 @@
 	config  Config
 	retries retry.Bucket
 	log     requestLog
+	// presence tells hosts that fell silent from those that take long.
+	presence presence
 	// throttle refuses calls that services beneath would refuse.
 	throttle balance.Throttle
 	calls    bound
@@ -138,6 +140,10 @@
 	return slices.DeleteFunc(slices.Clone(stages), func(name string) bool { return name == "claim" })
 }
 
+// SetRetrySlack states how many retries this node may make beyond its share of
+// the first attempts.
+func (e *Entry) SetRetrySlack(retries float64) { e.retries.SetSlack(retries) }
+
 // Close waits for messages that are still under way. No call may be running.
 func (e *Entry) Close() error {
 	e.wg.Wait()
--- a/internal/entry/event.go
+++ b/internal/entry/event.go
@@ -16,6 +16,8 @@
 		"A request ended without its answer and may have run.")
 	eventSentAgain = event.New(702, "request-sent-again", event.Info,
 		"A request goes to another host after one that refused or failed it.")
+	eventSilent = event.New(703, "host-silent", event.Warn,
+		"A host answered nothing while a call waited for it; it gets no new calls for a while.")
 )
 
 const (
--- a/internal/node/connect.go
+++ b/internal/node/connect.go
@@ -48,6 +48,7 @@
 	n.noteLeaving(members)
 	if n.adapter.foreign() {
 		n.tally.SetHosts(counted, n.leaving)
+		n.entry.SetRetrySlack(n.retrySlack(n.settings.Limits.RetrySlack, len(members)))
 		return
 	}
 	n.quota.SetHosts(limited)
--- a/internal/node/event.go
+++ b/internal/node/event.go
@@ -9,6 +9,10 @@
 		"The node was asked to stop: it takes no new work and finishes what it has.")
 	eventShutdownCut = event.New(102, "shutdown-cut-short", event.Warn,
 		"The bound on a graceful shutdown passed while calls were still running.")
+	eventReloaded = event.New(104, "settings-reloaded", event.Info,
+		"The settings were read anew. Where needs-restart is true, some that changed take effect at the next start only.")
+	eventReloadFailed = event.New(105, "settings-not-reloaded", event.Warn,
+		"The settings could not be read anew; the node goes on with those that it has.")
 	eventStopped = event.New(103, "node-stopped", event.Info,
 		"The node has stopped.")
 )
--- a/internal/node/listen.go
+++ b/internal/node/listen.go
@@ -12,6 +12,7 @@
 
 	"curranthold.example/curranthold/internal/resource"
 	"curranthold.example/curranthold/internal/settings"
+	"curranthold.example/curranthold/internal/socket"
 )
 
 const (
@@ -33,7 +34,7 @@
 }
 
 func (l *listeners) open(s settings.Settings) error {
-	var config net.ListenConfig
+	config := socket.ListenConfig()
 	open := func(address string) (net.Listener, error) {
 		return config.Listen(context.Background(), "tcp", address)
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -30,6 +30,10 @@
 const (
 	// refuseNotice is how long it then refuses calls, before nothing listens.
 	refuseNotice = 500 * time.Millisecond
+	// retrySlackShare is the part of the fleet's retries in advance that nodes
+	// hold in their buckets, as a divisor. The rest covers calls beneath repeated
+	// attempts.
+	retrySlackShare = 2
 	// expiryInterval is the time between two looks at the announcement.
 	expiryInterval = 500 * time.Millisecond
 )
--- a/internal/owner/backend.go
+++ b/internal/owner/backend.go
@@ -6,7 +6,6 @@
 	"context"
 	"errors"
 	"io"
-	"net"
 	"net/http"
 	"net/http/httptrace"
 	"net/url"
@@ -17,6 +16,7 @@
 	"curranthold.example/curranthold/internal/call"
 	"curranthold.example/curranthold/internal/kernel"
 	"curranthold.example/curranthold/internal/retry"
+	"curranthold.example/curranthold/internal/socket"
 	"curranthold.example/curranthold/pkg/verdict"
 )
 
@@ -41,7 +41,7 @@
 		announcement: a,
 		born:         born,
 		transport: &http.Transport{
-			DialContext:         (&net.Dialer{Timeout: connectTimeout}).DialContext,
+			DialContext:         socket.Dialer(connectTimeout).DialContext,
 			MaxConnsPerHost:     a.Connections,
 			MaxIdleConnsPerHost: max(a.Slots, 1),
 			IdleConnTimeout:     cmp.Or(idle, connectionIdleTimeout),
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -146,6 +146,9 @@
 	return nil
 }
 
+// Ping answers that the owner is there.
+func (r *RPC) Ping(*call.Ping, *call.Ping) error { return nil }
+
 // Cancel abandons a call whose caller no longer waits.
 func (r *RPC) Cancel(request *call.Cancel, _ *call.Cancel) error {
 	r.owner.cancel(request.ID)
--- a/internal/peer/pool.go
+++ b/internal/peer/pool.go
@@ -12,11 +12,13 @@
 	"time"
 
 	"github.com/sourcegraph/conc"
+
+	"curranthold.example/curranthold/internal/socket"
 )
 
 const (
 	// dialTimeout bounds the opening of a connection to another node.
-	dialTimeout = time.Second
+	dialTimeout = 400 * time.Millisecond
 	// idleTimeout is how long a connection without calls is kept.
 	idleTimeout = time.Minute
 )
@@ -143,7 +145,8 @@
 }
 
 func (p *Pool) dial(address string) (*rpc.Client, error) {
-	dialer := net.Dialer{Timeout: dialTimeout, LocalAddr: p.source()}
+	dialer := socket.Dialer(dialTimeout)
+	dialer.LocalAddr = p.source()
 	conn, err := dialer.DialContext(context.Background(), "tcp", address)
 	if err != nil {
 		return nil, err
--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -4,16 +4,16 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"net"
 	"net/http"
 	"strings"
 	"sync"
 	"time"
+
+	"curranthold.example/curranthold/internal/socket"
 )
 
 const (
 	defaultTimeout = 2 * time.Second
-	keepAlive      = 15 * time.Second
 	idleTimeout    = 30 * time.Second
 	// maxConns bounds the connections to each service; further requests wait
 	// for one within their timeout.
@@ -73,9 +73,8 @@
 }
 
 func newTransport(timeout time.Duration) *http.Transport {
-	dialer := &net.Dialer{Timeout: timeout, KeepAlive: keepAlive}
 	return &http.Transport{
-		DialContext:         dialer.DialContext,
+		DialContext:         socket.Dialer(timeout).DialContext,
 		MaxConnsPerHost:     maxConns,
 		MaxIdleConnsPerHost: maxConns,
 		IdleConnTimeout:     idleTimeout,
--- a/internal/retry/bucket.go
+++ b/internal/retry/bucket.go
@@ -35,6 +35,22 @@
 type Bucket struct {
 	// used is the capacity that is taken up, in thousandths of a retry.
 	used atomic.Int64
+	// slack is the stated capacity, in thousandths of a retry; 0 stands for
+	// milliCapacity.
+	slack atomic.Int64
+}
+
+// SetSlack states how many retries the bucket holds in advance of first
+// attempts, where nodes share a stated number. It may be a fraction.
+func (b *Bucket) SetSlack(retries float64) {
+	b.slack.Store(max(int64(retries*milliRetry), 1))
+}
+
+func (b *Bucket) capacity() int64 {
+	if slack := b.slack.Load(); slack > 0 {
+		return min(slack, milliCapacity)
+	}
+	return milliCapacity
 }
 
 // First counts a first attempt.
@@ -52,7 +68,7 @@
 func (b *Bucket) Repeated() {
 	for {
 		used := b.used.Load()
-		next := min(used+milliRetry, milliCapacity+milliMaxDebt)
+		next := min(used+milliRetry, b.capacity()+milliMaxDebt)
 		if b.used.CompareAndSwap(used, next) {
 			return
 		}
@@ -63,7 +79,7 @@
 func (b *Bucket) Take() bool {
 	for {
 		used := b.used.Load()
-		if used+milliRetry > milliCapacity {
+		if used+milliRetry > max(b.capacity(), milliRetry) {
 			retriesDenied.Add(1)
 			return false
 		}
