Know a running backend server at once, tell when to come back

Change: such a node asks for the health and takes the slots of its siblings; a request above the rate is told when its turn comes, one after the other at this host's part of the rate. Two hosts a zone watch the configuration with waits of 2 s in place of 1.5 s.

Ruled out: Retry-After by the bucket's level alone, since all that are refused at once would come back at once.

--- /dev/null
+++ b/internal/admission/pace_test.go
@@ -0,0 +1,97 @@
+package admission_test
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"curranthold.example/curranthold/internal/admission"
+	"curranthold.example/curranthold/pkg/object"
+)
+
+// TestPace plays twice the load that a cold backend server bears, from before it
+// turns cold, and counts what starts in any second.
+func TestPace(t *testing.T) {
+	const rate, slots = 44.0, 294
+	tests := map[string]struct {
+		nested, urgent bool
+	}{
+		"root calls":   {},
+		"nested calls": {nested: true},
+		"urgent calls": {urgent: true},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := admission.New(admission.Config{})
+				defer c.Close()
+				announce := func(coldFor time.Duration) {
+					c.Announce(admission.Announcement{
+						Slots: slots, Incarnation: "one", Cold: coldFor > 0, ColdRate: rate, ColdFor: coldFor,
+					})
+				}
+				announce(0)
+				request := admission.Request{Urgency: object.Normal, Patience: 100 * time.Millisecond}
+				if test.nested {
+					request.Depth = 1
+				}
+				if test.urgent {
+					request.Urgency = object.Urgent
+				}
+				started := make(chan time.Time, 10_000)
+				call := func() {
+					ticket, err := c.Acquire(context.Background(), request)
+					if err != nil {
+						return
+					}
+					started <- time.Now()
+					time.Sleep(15 * time.Millisecond)
+					ticket.Done(admission.Succeeded)
+				}
+				var cold time.Time
+				for i := range 4000 {
+					switch i {
+					case 1000:
+						cold = time.Now()
+						announce(3 * time.Second)
+					case 1750:
+						announce(1500 * time.Millisecond)
+					}
+					go call()
+					time.Sleep(2 * time.Millisecond)
+				}
+				time.Sleep(time.Second)
+				close(started)
+				var paced []time.Time
+				after := 0
+				for at := range started {
+					switch {
+					case at.Before(cold):
+					case at.Sub(cold) < 3*time.Second:
+						paced = append(paced, at)
+					default:
+						after++
+					}
+				}
+				qt.Check(t, float64(most(paced, time.Second)) <= rate*1.5+5, qt.IsTrue, qt.Commentf("%d in a second", most(paced, time.Second)))
+				qt.Check(t, float64(len(paced)) > 3*rate*0.9, qt.IsTrue, qt.Commentf("%d in 3 s", len(paced)))
+				qt.Check(t, after > 1400, qt.IsTrue, qt.Commentf("%d of 1500 once warm", after))
+			})
+		})
+	}
+}
+
+// most returns the most events in any window.
+func most(events []time.Time, window time.Duration) int {
+	best, first := 0, 0
+	for i, at := range events {
+		for at.Sub(events[first]) > window {
+			first++
+		}
+		best = max(best, i-first+1)
+	}
+	return best
+}
--- a/internal/configuration/source.go
+++ b/internal/configuration/source.go
@@ -20,7 +20,7 @@
 	closeWatchers = 2
 	looseWatchers = 8
 	// closeWait and looseWait are how long one watch waits for a change.
-	closeWait = 1500 * time.Millisecond
+	closeWait = 2 * time.Second
 	looseWait = 15 * time.Second
 	// sourceRetry is the mean time between attempts to reach a source that
 	// failed.
--- a/internal/entry/comeback.go
+++ b/internal/entry/comeback.go
@@ -20,7 +20,13 @@
 // The times are spread, so that callers that were refused together do not come
 // back together.
 func returnAfter(x *exchange, failure *verdict.Error) time.Duration {
-	if failure.Verdict != verdict.NotRun || x.timeout <= 0 {
+	if failure.Verdict != verdict.NotRun {
+		return 0
+	}
+	if failure.RetryAfterMs > 0 {
+		return time.Duration(failure.RetryAfterMs) * time.Millisecond
+	}
+	if x.timeout <= 0 {
 		return 0
 	}
 	mean := min(max(x.timeout/comebackShare, minComeback), maxComeback)
--- a/internal/node/adapter.go
+++ b/internal/node/adapter.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"context"
 	"net/http"
 
 	"curranthold.example/curranthold/internal/configuration"
@@ -22,6 +23,8 @@
 	Backend owner.Codec
 	// Heartbeats serves the backend server's messages about itself.
 	Heartbeats func(Heartbeats) http.Handler
+	// Health asks the backend server at the address for its health.
+	Health func(ctx context.Context, address, path string) (Health, error)
 	// Readiness answers whether the node takes calls.
 	Readiness func(ready func() bool) http.Handler
 }
--- a/internal/node/event.go
+++ b/internal/node/event.go
@@ -13,6 +13,8 @@
 		"The settings were read anew. Where needs-restart is true, some that changed take effect at the next start only.")
 	eventReloadFailed = event.New(105, "settings-not-reloaded", event.Warn,
 		"The settings could not be read anew; the node goes on with those that it has.")
+	eventPresumed = event.New(106, "backend-presumed", event.Info,
+		"The backend server on this host answered a question about its health before its first heartbeat; it is taken to have the slots of its siblings.")
 	eventStopped = event.New(103, "node-stopped", event.Info,
 		"The node has stopped.")
 )
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -204,6 +204,7 @@
 	if n.adapter.foreign() {
 		n.wg.Go(func() { _ = n.tally.Run(control) })
 		n.serve(n.listeners.ready, n.adapter.Readiness(n.takesCalls))
+		n.wg.Go(func() { n.presume(control) })
 	} else {
 		n.wg.Go(func() { _ = n.quota.Run(control) })
 		n.wg.Go(func() { _ = n.claims.Run(control) })
--- a/internal/owner/heartbeat.go
+++ b/internal/owner/heartbeat.go
@@ -79,6 +79,24 @@
 	return true
 }
 
+// Presume puts an announcement into force that no heartbeat has made yet. It
+// reports false, and changes nothing, once there was one.
+func (o *Owner) Presume(h Heartbeat) bool {
+	if o.Announced() {
+		return false
+	}
+	o.announce(h.Announcement, 0, h.ColdFor)
+	return true
+}
+
+// Announced reports whether a backend server has announced itself, left or was
+// presumed.
+func (o *Owner) Announced() bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.lifetime != (lifetime{}) || len(o.departed) > 0 || o.backend != nil
+}
+
 // Depart notes that the backend server of that name has left, so that no late
 // heartbeat of its start brings it back. Born is 0 where it was not stated.
 func (o *Owner) Depart(name string, born int64) {
--- a/internal/tally/account.go
+++ b/internal/tally/account.go
@@ -20,6 +20,8 @@
 	// sent and answered are the times of the last report and of the last one
 	// that was answered.
 	sent, answered time.Time
+	// returns is when the last request that was refused may come back.
+	returns time.Time
 	// refused is set once a request was refused since the last report.
 	refused bool
 	// rate is what this host spends, in requests a second, as of measured.
@@ -75,10 +77,19 @@
 	return true
 }
 
-// wait returns how long it takes until the next token.
-func (a *account) wait() time.Duration {
-	growth := max(a.refill-a.others, a.limit.Rate/100, 0.01)
-	return time.Duration((1 - a.level) / growth * float64(time.Second))
+// comeback returns when a request that was refused may come back: those that are
+// refused get tokens one after the other, at this host's even part of the rate.
+func (a *account) comeback(now time.Time, share float64) time.Duration {
+	if first := now.Add(perSecond(max(1-a.level, 0), a.limit.Rate)); a.returns.Before(first) {
+		a.returns = first
+	}
+	a.returns = a.returns.Add(perSecond(1, a.limit.Rate*share))
+	return min(a.returns.Sub(now), maxComeback)
+}
+
+// perSecond returns the time in which so many tokens come at a rate.
+func perSecond(tokens, rate float64) time.Duration {
+	return time.Duration(tokens / max(rate, minRate) * float64(time.Second))
 }
 
 // due reports whether the home is to be told of what was spent, or asked for
--- a/internal/tally/doc.go
+++ b/internal/tally/doc.go
@@ -60,6 +60,10 @@
 	// urgentShare is the part of the bucket below which each look reports, as a
 	// divisor.
 	urgentShare = 3
+	// maxComeback bounds what callers are told about when to come back.
+	maxComeback = 30 * time.Second
+	// minRate bounds divisions by a rate, in tokens a second.
+	minRate = 0.01
 	// rateMemory is the time after which a measured rate has lost most of its
 	// weight.
 	rateMemory = time.Second
--- a/internal/tally/manager.go
+++ b/internal/tally/manager.go
@@ -129,9 +129,11 @@
 		return nil
 	}
 	refusedExceeded.Add(1)
-	return verdict.New(verdict.NotRun, verdict.QuotaExceeded,
+	refusal := verdict.New(verdict.NotRun, verdict.QuotaExceeded,
 		"client account %q is above its rate and burst: %.1f tokens, filled with %.1f/s, others spend %.1f/s, answered %d ms ago",
 		name, a.level, a.refill, a.others, m.config.Now().Sub(a.answered).Milliseconds())
+	refusal.RetryAfterMs = int(a.comeback(m.config.Now(), m.share()).Milliseconds())
+	return refusal
 }
 
 // share returns this host's even part of a rate.
--- a/pkg/verdict/verdict.go
+++ b/pkg/verdict/verdict.go
@@ -68,6 +68,9 @@
 	// Exhausted is set when every host that could serve the request refused
 	// it, so that no process above retries it.
 	Exhausted bool `json:"exhausted,omitempty"`
+	// RetryAfterMs is when another attempt is likely to succeed, in milliseconds
+	// from now; 0 where that is not known.
+	RetryAfterMs int `json:"retry-after-ms,omitempty"`
 	// Status is the HTTP status of the earlier run of an AlreadyRan request.
 	Status int `json:"status,omitempty"`
 }
