Check the platform's settings, run the proof's fleets side by side

Cause: the proof's fleets ran one after the other for 585 s, mostly waiting; the platform's settings file had no check.

Change: tests of the proof are parallel, one fleet for two processors; currantholdd check takes the file as an argument and, with -platform, one that the platform wrote.

--- a/cmd/currantholdd/check.go
+++ b/cmd/currantholdd/check.go
@@ -1,15 +1,23 @@
 package main
 
 import (
+	"cmp"
 	"context"
 	"flag"
 	"fmt"
+	"os"
 
 	"github.com/google/subcommands"
+
+	"curranthold.example/curranthold/internal/settings"
+	"curranthold.example/curranthold/platform"
 )
 
 // checkCommand checks a settings file without running the node.
-type checkCommand struct{ settingsFile string }
+type checkCommand struct {
+	settingsFile string
+	platform     bool
+}
 
 // Name implements subcommands.Command.
 func (*checkCommand) Name() string { return "check" }
@@ -19,24 +27,36 @@
 
 // Usage implements subcommands.Command.
 func (*checkCommand) Usage() string {
-	return `check -settings FILE
+	return `check [-platform] FILE
   Names file, line and field of each mistake. Exits with 2 if there is one.
+  With -platform, FILE is a settings file as the users' platform writes it.
 
-  Example: currantholdd check -settings examples/node.json
+  Example: currantholdd check examples/node.json
 
 `
 }
 
 // SetFlags implements subcommands.Command.
 func (c *checkCommand) SetFlags(f *flag.FlagSet) {
-	f.StringVar(&c.settingsFile, "settings", "", "settings file, JSON with comments")
+	f.StringVar(&c.settingsFile, "settings", "", "settings file, in place of the argument")
+	f.BoolVar(&c.platform, "platform", false, "the file is one that the users' platform wrote")
 }
 
 // Execute implements subcommands.Command.
-func (c *checkCommand) Execute(context.Context, *flag.FlagSet, ...any) subcommands.ExitStatus {
-	s, status := loadSettings(c.settingsFile)
-	if status == subcommands.ExitSuccess {
-		fmt.Printf("%s: host %s in availability zone %s: no mistakes\n", c.settingsFile, s.Host, s.AvailabilityZone)
+func (c *checkCommand) Execute(_ context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	file := cmp.Or(c.settingsFile, f.Arg(0))
+	s, err := c.load(file)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return subcommands.ExitUsageError
+	}
+	fmt.Printf("%s: host %s in availability zone %s: no mistakes\n", file, s.Host, s.AvailabilityZone)
+	return subcommands.ExitSuccess
+}
+
+func (c *checkCommand) load(file string) (settings.Settings, error) {
+	if c.platform {
+		return platform.LoadSettings(file)
 	}
-	return status
+	return settings.Load(file)
 }
--- a/cmd/currantholdd/main.go
+++ b/cmd/currantholdd/main.go
@@ -4,7 +4,7 @@
 //
 //	currantholdd run -settings FILE
 //	currantholdd sidecar
-//	currantholdd check -settings FILE
+//	currantholdd check [-platform] FILE
 package main
 
 import (
--- a/internal/configuration/poll.go
+++ b/internal/configuration/poll.go
@@ -31,7 +31,6 @@
 }
 
 func (r *Replica) poll() {
-
 	for r.wait(jittered(pollInterval)) {
 		if r.polls() {
 			r.pollOnce()
--- a/internal/proof/configuration_test.go
+++ b/internal/proof/configuration_test.go
@@ -149,6 +149,7 @@
 // TestWithdrawnKeyStops withdraws keys from callers that stay connected to every
 // host, and looks for the keys' secrets in all that the system writes.
 func TestWithdrawnKeyStops(t *testing.T) {
+	t.Parallel()
 	f := startFleet(t, nil, ringing(), ringingObjects()...)
 	var secrets []string
 	for name, w := range withdrawals {
@@ -391,6 +392,7 @@
 // TestChangesSpread measures the time from the accepted answer until a change is
 // in force at every host, over changes by way of all hosts.
 func TestChangesSpread(t *testing.T) {
+	t.Parallel()
 	f := startFleet(t, nil, ringing(), ringingObjects()...)
 	r := f.record()
 	times := make([]time.Duration, 30)
@@ -407,6 +409,7 @@
 // TestNeverReverts restarts hosts and takes the table away around changes. No
 // ready host may ever apply less than it did before.
 func TestNeverReverts(t *testing.T) {
+	t.Parallel()
 	f := startFleet(t, nil, ringing(), ringingObjects()...)
 	r := f.record()
 	defer r.close(t)
@@ -557,6 +560,7 @@
 // TestRacingOperators has two operators replace one version of an object by way
 // of two hosts at once. One must win and the other be told of a conflict.
 func TestRacingOperators(t *testing.T) {
+	t.Parallel()
 	f := startFleet(t, nil, ringing(), ringingObjects()...)
 	for round := range 20 {
 		id := object.ID{Kind: object.KindService, Name: "rota"}
@@ -594,6 +598,7 @@
 // TestStatusClaimsOnlyWhatHolds freezes one host after another before a change.
 // No status may claim the change to be in force until that host has it.
 func TestStatusClaimsOnlyWhatHolds(t *testing.T) {
+	t.Parallel()
 	f := startFleet(t, nil, ringing(), ringingObjects()...)
 	claims := 0
 	for i, frozen := range f.order {
--- a/internal/proof/cut_test.go
+++ b/internal/proof/cut_test.go
@@ -14,6 +14,7 @@
 // TestCutZone cuts zone b off from zone a and from the platform while both are
 // called, and heals the cut.
 func TestCutZone(t *testing.T) {
+	t.Parallel()
 	f := newFleet(t, ringing(), ringingObjects()...)
 	bern, chur := f.createKey("bern", "bern-1"), f.createKey("chur", "chur-1")
 	plan := []standin.Stream{
@@ -49,6 +50,7 @@
 // TestTableOutage takes the platform away while calls go on. Requests with
 // tickets and without idempotency keys must still be served.
 func TestTableOutage(t *testing.T) {
+	t.Parallel()
 	f := newFleet(t, ringing(), ringingObjects()...)
 	chur := f.createKey("chur", "chur-1")
 	f.control(f.platform.Ready(), `{"outage": true}`)
--- a/internal/proof/drain_test.go
+++ b/internal/proof/drain_test.go
@@ -23,6 +23,7 @@
 // TestKeptConnectionsDrain ends a node whose callers hold connections and call
 // without a pause until they are told that it leaves. No call may be cut off.
 func TestKeptConnectionsDrain(t *testing.T) {
+	t.Parallel()
 	f := newFleet(t, []hostPlan{
 		{"echo-1", "a", "echo", []string{"-slots", "64", "-service-time-ms", "2"}},
 		{"echo-2", "a", "echo", []string{"-slots", "64", "-service-time-ms", "2"}},
--- a/internal/proof/fleet_test.go
+++ b/internal/proof/fleet_test.go
@@ -7,11 +7,13 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"encoding/json"
+	"flag"
 	"fmt"
 	"net/http"
 	"os"
 	"path/filepath"
 	"regexp"
+	"runtime"
 	"strconv"
 	"strings"
 	"sync"
@@ -45,7 +47,15 @@
 // fleets counts the fleets of this process, for their addresses.
 var fleets atomic.Int32
 
+// processorsPerFleet bounds the fleets that run side by side.
+const processorsPerFleet = 2
+
 func TestMain(m *testing.M) {
+	flag.Parse()
+	if err := flag.Set("test.parallel", strconv.Itoa(max(runtime.NumCPU()/processorsPerFleet, 1))); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
 	directory, err := os.MkdirTemp("", "proof")
 	if err == nil {
 		err = standin.Build(context.Background(), directory, "curranthold.example/curranthold/cmd/...")
--- a/internal/proof/input_test.go
+++ b/internal/proof/input_test.go
@@ -65,6 +65,7 @@
 // TestBadInput sends malformed and slow input to a node in many connections at a
 // time, while a client account is served through it.
 func TestBadInput(t *testing.T) {
+	t.Parallel()
 	f := newFleet(t, []hostPlan{
 		{"peals-a", "a", "peals", []string{"-slots", "30", "-service-time-ms", "5"}},
 		{"peals-b", "a", "peals", []string{"-slots", "30", "-service-time-ms", "5"}},
--- a/internal/proof/leave_test.go
+++ b/internal/proof/leave_test.go
@@ -117,6 +117,7 @@
 // TestLeaving ends a node and later a backend server under load. Every call must
 // be served.
 func TestLeaving(t *testing.T) {
+	t.Parallel()
 	f := echoFleet(t, 1, "a", "b", "c")
 	key := f.createKey("bern", "bern-1")
 	settled := f.settle(key)
@@ -143,6 +144,7 @@
 // TestLeavingUnheard ends a node, all of whose messages are lost, under load. It
 // must get no new work. What its quota costs the others is not part of this.
 func TestLeavingUnheard(t *testing.T) {
+	t.Parallel()
 	f := echoFleet(t, 1, "a", "b", "c")
 	key := f.createKey("bern", "bern-1")
 	settled := f.settle(key)
@@ -172,6 +174,7 @@
 
 // TestZoneOutAndIn takes a zone out of service under load and restores it.
 func TestZoneOutAndIn(t *testing.T) {
+	t.Parallel()
 	f := echoFleet(t, 2, "a", "b")
 	key := f.createKey("bern", "bern-1")
 	settled := f.settle(key)
--- a/internal/proof/non_repeatable_test.go
+++ b/internal/proof/non_repeatable_test.go
@@ -150,6 +150,7 @@
 // TestNonRepeatableUnderFaults has callers repeat non-repeatable requests hard at
 // several entries while a fault is brought about.
 func TestNonRepeatableUnderFaults(t *testing.T) {
+	t.Parallel()
 	tests := map[string]struct {
 		seed  uint64
 		fault func(f *fleet, plan []standin.Stream)
@@ -216,6 +217,7 @@
 // TestNestedNonRepeatable breaks idempotent calls after the non-repeatable calls
 // beneath them have run.
 func TestNestedNonRepeatable(t *testing.T) {
+	t.Parallel()
 	f := startFleet(t, nil, ringing(), ringingObjects()...)
 	plan := []standin.Stream{{
 		Account: "bern", Key: f.createKey("bern", "bern-1"), Method: http.MethodGet, Path: "/rota/today",
@@ -284,6 +286,7 @@
 // TestNonRepeatableUnderCuts cuts the zones off from each other and from the
 // platform in several ways, and states what each of them serves.
 func TestNonRepeatableUnderCuts(t *testing.T) {
+	t.Parallel()
 	tests := map[string]struct {
 		seed     uint64
 		platform []string
--- a/internal/proof/path_test.go
+++ b/internal/proof/path_test.go
@@ -42,6 +42,7 @@
 // TestWholePath serves calls of three levels for two client accounts through
 // every host.
 func TestWholePath(t *testing.T) {
+	t.Parallel()
 	f := newFleet(t, ringing(), ringingObjects()...)
 	bern, chur := f.createKey("bern", "bern-1"), f.createKey("chur", "chur-1")
 	report, calls := f.load(1, []standin.Stream{
--- a/internal/proof/quota_test.go
+++ b/internal/proof/quota_test.go
@@ -160,6 +160,7 @@
 
 // TestCheckWindows shows that the check sees one request too many.
 func TestCheckWindows(t *testing.T) {
+	t.Parallel()
 	at := func(ms int) time.Time { return time.UnixMilli(int64(ms)) }
 	tests := map[string]struct {
 		spans []span
@@ -200,6 +201,7 @@
 // while three accounts are called, one at four times its rate. In no window may
 // more run for an account than its limit.
 func TestQuotaUnderFaults(t *testing.T) {
+	t.Parallel()
 	accounts := []quotaAccount{
 		{name: "bern", rate: 100, burst: 50, share: 0.5},
 		{name: "chur", rate: 60, burst: 60, share: 0.8},
@@ -244,6 +246,7 @@
 // and in a zone that is cut off, from the homes of both accounts too, and sends
 // what its fractions allow.
 func TestQuotaRefusals(t *testing.T) {
+	t.Parallel()
 	accounts := []quotaAccount{
 		{name: "bern", rate: 400, burst: 200, share: 0.4},
 		{name: "chur", rate: 200, burst: 200, share: 0.4},
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -7,6 +7,7 @@
 	"encoding/hex"
 	"errors"
 	"fmt"
+	"math"
 	"net/netip"
 	"os"
 	"reflect"
@@ -228,17 +229,27 @@
 			File: d.file, Line: d.lines[field], Field: field, Message: fmt.Sprintf(format, args...),
 		})
 	}
+	s.checkNames(note)
+	s.checkAddresses(note)
+	checkHex(note, "fleet-secret", s.FleetSecret)
+	for i, operator := range s.Operators {
+		checkHex(note, fmt.Sprintf("operators[%d].token-sha256", i), operator.TokenSHA256)
+	}
+	s.checkLimits(note)
+	checkMechanisms(note, s.Limits.DisabledMechanisms)
+}
+
+// checkNames notes which names are missing.
+func (s Settings) checkNames(note noteFunc) {
 	required := map[string]string{"host": s.Host, "availability-zone": s.AvailabilityZone}
 	for _, field := range []string{"host", "availability-zone"} {
 		if required[field] == "" {
 			note(field, "is required")
 		}
 	}
-	s.checkAddresses(note)
-	checkHex(note, "fleet-secret", s.FleetSecret)
-	for i, operator := range s.Operators {
-		checkHex(note, fmt.Sprintf("operators[%d].token-sha256", i), operator.TokenSHA256)
-	}
+}
+
+func (s Settings) checkLimits(note noteFunc) {
 	checkRange(note, "platform.timeout-ms", s.Platform.TimeoutMs, 1, maxTimeoutMs)
 	checkRange(note, "limits.request-bytes", s.Limits.RequestBytes, 1, maxMessageBytes)
 	checkRange(note, "limits.answer-bytes", s.Limits.AnswerBytes, 1, maxMessageBytes)
@@ -247,7 +258,26 @@
 	checkRange(note, "limits.default-timeout-ms", s.Limits.DefaultTimeoutMs, 1, maxTimeoutMs)
 	checkRange(note, "limits.extra-attempts", s.Limits.ExtraAttempts, 0, 100)
 	checkRange(note, "limits.shutdown-ms", s.Limits.ShutdownMs, 1, maxTimeoutMs)
-	checkMechanisms(note, s.Limits.DisabledMechanisms)
+	checkRange(note, "limits.leave-notice-ms", s.Limits.LeaveNoticeMs, 0, maxTimeoutMs)
+	checkRange(note, "limits.idle-ms", s.Limits.IdleMs, 1, maxTimeoutMs)
+	checkRange(note, "limits.retry-slack", s.Limits.RetrySlack, 0, maxCallsInFlight)
+	checkRange(note, "limits.memory-bytes", s.Limits.MemoryBytes, 0, math.MaxInt)
+}
+
+// Problems returns what is wrong with settings that no file of this project
+// states: an address or a name that is missing, or a value out of its range.
+func (s Settings) Problems() error {
+	d := &decoder{lines: make(map[string]int)}
+	note := func(field, format string, args ...any) {
+		d.mistakes = append(d.mistakes, Mistake{Field: field, Message: fmt.Sprintf(format, args...)})
+	}
+	s.checkNames(note)
+	s.checkAddresses(note)
+	s.checkLimits(note)
+	if len(d.mistakes) == 0 {
+		return nil
+	}
+	return Mistakes(d.mistakes)
 }
 
 type noteFunc func(field, format string, args ...any)
--- a/internal/tally/manager.go
+++ b/internal/tally/manager.go
@@ -23,10 +23,8 @@
 	failedReports   = metrics.Int("failed-report-messages")
 )
 
-var (
-	eventHomeLost = event.New(750, "tally-home-lost", event.Warn,
-		"The home of some client accounts did not answer a report; another host stands in for a while.")
-)
+var eventHomeLost = event.New(750, "tally-home-lost", event.Warn,
+	"The home of some client accounts did not answer a report; another host stands in for a while.")
 
 // Config says who this host is and how it reaches others.
 type Config struct {
@@ -177,7 +175,7 @@
 	reports := make(map[Host]*ReportArgs)
 	for _, a := range m.accounts {
 		a.measure(now)
-		if !a.due(now, len(m.hosts)) && !(all && a.total != a.reported) {
+		if !a.due(now, len(m.hosts)) && (!all || a.total == a.reported) {
 			continue
 		}
 		home := m.home(partitionOf(a.name), now)
