Order requests by the rank of their account, then by their route

The log shows one urgency for all: every account has the same priority, which replaced that of the route.

Change: an account's priority is its rank, which goes before the urgency of the route; requests of accounts of one rank are told apart by their routes.

Ruled out: the order of nested calls (they had their parents' urgency, which was the same for all).

--- a/internal/admission/metrics.go
+++ b/internal/admission/metrics.go
@@ -30,7 +30,7 @@
 
 func init() {
 	for u := range object.Urgency(object.UrgencyCount) {
-		admittedCount[u] = metrics.Int("admitted-" + u.String() + "-requests")
+		admittedCount[u] = metrics.Int("admitted-" + u.Level().String() + "-requests")
 	}
 	for o := range Outcome(outcomeCountMax) {
 		outcomeCount[o] = metrics.Int("outcome-" + o.String() + "-requests")
--- a/internal/entry/metric.go
+++ b/internal/entry/metric.go
@@ -18,7 +18,7 @@
 
 func servedByUrgency() (served [object.UrgencyCount]*expvar.Int) {
 	for u := range object.Urgency(object.UrgencyCount) {
-		served[u] = metrics.Int("served-" + u.String())
+		served[u] = metrics.Int("served-" + u.Level().String())
 	}
 	return served
 }
--- a/internal/entry/stage.go
+++ b/internal/entry/stage.go
@@ -82,9 +82,7 @@
 		x.request.KeyName = keyName(presented)
 		spec := e.config.Configuration.Snapshot().Accounts()[account]
 		x.request.Weight = spec.Rate
-		if spec.Urgency != nil {
-			x.request.Urgency = *spec.Urgency
-		}
+		x.request.Urgency = x.request.Urgency.InRank(spec.Rank)
 		return next(ctx, x)
 	}
 }
--- a/pkg/object/object.go
+++ b/pkg/object/object.go
@@ -24,8 +24,13 @@
 	Urgent Urgency = iota
 	Normal
 	Deferrable
-	// UrgencyCount is the number of urgencies.
-	UrgencyCount = 3
+	// UrgencyLevels is the number of urgencies that a route may state.
+	UrgencyLevels = 3
+	// UrgencyRanks is the number of ranks of client accounts.
+	UrgencyRanks = 3
+	// UrgencyCount is the number of urgencies of requests: the rank of the client
+	// account goes before what the route states.
+	UrgencyCount = UrgencyRanks * UrgencyLevels
 )
 
 // Metadata is what the system keeps about each object.
@@ -45,8 +50,9 @@
 	Rate float64 `json:"rate"`
 	// Burst is in requests, at least 1.
 	Burst float64 `json:"burst"`
-	// Urgency, where stated, goes before that of the route.
-	Urgency *Urgency `json:"urgency,omitempty"`
+	// Rank orders requests before the urgency of their routes does: those of an
+	// account with a lower rank are shed later. It is at most UrgencyRanks - 1.
+	Rank int `json:"rank,omitempty"`
 }
 
 // KeySpec declares a key of a client account. The secret itself is never kept.
--- a/pkg/object/urgency.go
+++ b/pkg/object/urgency.go
@@ -2,7 +2,20 @@
 
 import "fmt"
 
-var urgencyNames = [UrgencyCount]string{"urgent", "normal", "deferrable"}
+var urgencyNames = [UrgencyCount]string{
+	"urgent", "normal", "deferrable",
+	"urgent-1", "normal-1", "deferrable-1",
+	"urgent-2", "normal-2", "deferrable-2",
+}
+
+// InRank returns the urgency of a request on a route of urgency u, of a client
+// account of the given rank.
+func (u Urgency) InRank(rank int) Urgency {
+	return Urgency(min(max(rank, 0), UrgencyRanks-1))*UrgencyLevels + u.Level()
+}
+
+// Level returns the urgency without the rank of the client account.
+func (u Urgency) Level() Urgency { return u % UrgencyLevels }
 
 // Valid reports whether u is one of the declared urgencies.
 func (u Urgency) Valid() bool { return u < UrgencyCount }
--- a/pkg/object/validate.go
+++ b/pkg/object/validate.go
@@ -62,6 +62,9 @@
 	if !(s.Burst >= 1 && s.Burst <= maxRate) {
 		errs = append(errs, FieldError{"burst", "the burst is " + number(s.Burst), "requests, at least 1 and at most " + number(maxRate)})
 	}
+	if s.Rank < 0 || s.Rank >= UrgencyRanks {
+		errs = append(errs, FieldError{"rank", "the rank is " + strconv.Itoa(s.Rank), fmt.Sprintf("0 to %d", UrgencyRanks-1)})
+	}
 	return errs
 }
 
@@ -97,7 +100,7 @@
 	}
 	errs = append(errs, validatePathPrefix(s.PathPrefix)...)
 	errs = append(errs, s.validateServices()...)
-	if !s.Urgency.Valid() {
+	if s.Urgency >= UrgencyLevels {
 		errs = append(errs, FieldError{"urgency", "there is no " + s.Urgency.String(), "one of urgent, normal, deferrable"})
 	}
 	if s.TimeoutMs < 0 || s.TimeoutMs > maxTimeoutMs {
