--- a/internal/balance/throttle.go
+++ b/internal/balance/throttle.go
@@ -1,6 +1,7 @@
 package balance
 
 import (
+	"cmp"
 	"math"
 	"math/rand/v2"
 	"sync"
@@ -15,8 +16,7 @@
 	// throttleMemory is the time after which what is known of a kind of calls has
 	// lost most of its weight.
 	throttleMemory = 500 * time.Millisecond
-	// throttleExcess is how many calls are sent for each one that was not refused
-	// beneath, so that a service that bears more is found out.
+	// throttleExcess stands in for an Excess of 0.
 	throttleExcess = 2
 	// throttleIdle is how long a kind of calls is kept after its last refusal
 	// beneath. It bounds how long calls are refused after the cause has ended.
@@ -40,6 +40,10 @@
 // do not slow another's. The zero value works. Its methods may be called
 // concurrently.
 type Throttle struct {
+	// Excess is how many calls are sent for each one that was not refused beneath,
+	// so that a service that bears more is found out. 0 stands for 2. It must not
+	// change after the first call.
+	Excess float64
 	// Random returns random numbers in [0, 1), and may be called concurrently.
 	// Nil means math/rand/v2. It must not change after the first call.
 	Random func() float64
@@ -89,7 +93,7 @@
 		return true
 	}
 	k.decay(now)
-	excess := k.asked - throttleExcess*k.passed
+	excess := k.asked - cmp.Or(t.Excess, throttleExcess)*k.passed
 	k.asked++
 	return t.random() >= excess/k.asked
 }
--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -144,7 +144,7 @@
 	x.noteNonRepeatable(answer.NonRepeatable)
 	share.Refund(answer.ExtraAttempts)
 	e.config.Chooser.Observe(host.ID, answer.Load, time.Now())
-	e.throttle.Observe(x.kind(), answer.RefusedBeneath, time.Now())
+	e.throttle.Observe(e.kind(x), answer.RefusedBeneath, time.Now())
 	if answer.Err != nil {
 		return host.ID, answer.Offered, answer.Err
 	}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -120,6 +120,9 @@
 		config.Codec = ownCodec{}
 	}
 	e := &Entry{config: config, log: newRequestLog()}
+	if config.NoCallTokens {
+		e.throttle.Excess = treeExcess
+	}
 	e.calls.what, e.calls.most = "calls", int64(config.CallsInFlight)
 	e.bodies.what, e.bodies.most = "bytes of requests", config.BytesInFlight
 	var err error
--- a/internal/entry/throttle.go
+++ b/internal/entry/throttle.go
@@ -7,8 +7,18 @@
 	"curranthold.example/curranthold/pkg/verdict"
 )
 
-func (x *exchange) kind() balance.Kind {
-	return balance.Kind{Route: x.request.Route, Account: x.request.Account, Urgency: x.request.Urgency}
+// treeExcess is the excess of calls where each makes many beneath it: one of them
+// that is refused wastes the work of all.
+const treeExcess = 1.2
+
+// kind returns the kind of calls that are refused alike. Without call tokens the
+// calls beneath belong to no client account.
+func (e *Entry) kind(x *exchange) balance.Kind {
+	kind := balance.Kind{Route: x.request.Route, Account: x.request.Account, Urgency: x.request.Urgency}
+	if e.config.NoCallTokens {
+		kind.Account = ""
+	}
+	return kind
 }
 
 // throttled returns the error of a call that a service beneath is likely to
@@ -17,7 +27,7 @@
 	if e.config.DisableThrottle {
 		return nil
 	}
-	return e.throttle.Admit(x.kind(), time.Now())
+	return e.throttle.Admit(e.kind(x), time.Now())
 }
 
 // refusedForOverload reports whether the call, or one beneath it, was refused
