Fill accounts' buckets by half of the stated overage

Change: buckets fill by half of the stated overage faster; a host that refuses is taken to get three times its even part.

Ruled out: waiting for a token, which lengthens the queue of an account that sends more than its rate for long.

--- a/internal/node/connect.go
+++ b/internal/node/connect.go
@@ -110,8 +110,9 @@
 func (n *Node) limitAccounts(s *configuration.Snapshot) {
 	if n.adapter.foreign() {
 		limits := make(map[string]tally.Limit)
+		stretch := 1 + float64(n.settings.Limits.QuotaOveragePercent)/100/overageShare
 		for name, spec := range s.Accounts() {
-			limits[name] = tally.Limit{Rate: spec.Rate, Burst: spec.Burst}
+			limits[name] = tally.Limit{Rate: spec.Rate * stretch, Burst: spec.Burst}
 		}
 		n.tally.SetAccounts(limits)
 		return
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -34,6 +34,10 @@
 	// hold in their buckets, as a divisor. The rest covers calls beneath repeated
 	// attempts.
 	retrySlackShare = 2
+	// overageShare is the part of the stated overage by which accounts' buckets
+	// fill faster, as a divisor: a request within the limit is not refused because
+	// an estimate is late. The rest covers what is spent and not yet reported.
+	overageShare = 2
 	// expiryInterval is the time between two looks at the announcement.
 	expiryInterval = 500 * time.Millisecond
 )
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -92,6 +92,9 @@
 	// RetrySlack is how many retries all nodes together may make beyond their
 	// share of the first attempts.
 	RetrySlack int `json:"retry-slack"`
+	// QuotaOveragePercent is by how much client accounts may exceed their rate and
+	// burst before it counts against the fleet.
+	QuotaOveragePercent int `json:"quota-overage-percent"`
 	// MemoryBytes is what the process may use; 0 sets no limit.
 	MemoryBytes int `json:"memory-bytes"`
 	// IdleMs is how long an unused connection to the backend server is kept.
@@ -261,6 +264,7 @@
 	checkRange(note, "limits.leave-notice-ms", s.Limits.LeaveNoticeMs, 0, maxTimeoutMs)
 	checkRange(note, "limits.idle-ms", s.Limits.IdleMs, 1, maxTimeoutMs)
 	checkRange(note, "limits.retry-slack", s.Limits.RetrySlack, 0, maxCallsInFlight)
+	checkRange(note, "limits.quota-overage-percent", s.Limits.QuotaOveragePercent, 0, 100)
 	checkRange(note, "limits.memory-bytes", s.Limits.MemoryBytes, 0, math.MaxInt)
 }
 
--- a/internal/tally/account.go
+++ b/internal/tally/account.go
@@ -78,12 +78,12 @@
 }
 
 // comeback returns when a request that was refused may come back: those that are
-// refused get tokens one after the other, at this host's even part of the rate.
+// refused get tokens one after the other, at this host's part of the rate.
 func (a *account) comeback(now time.Time, share float64) time.Duration {
 	if first := now.Add(perSecond(max(1-a.level, 0), a.limit.Rate)); a.returns.Before(first) {
 		a.returns = first
 	}
-	a.returns = a.returns.Add(perSecond(1, a.limit.Rate*share))
+	a.returns = a.returns.Add(perSecond(1, a.limit.Rate*min(share*unevenness, 1)))
 	return min(a.returns.Sub(now), maxComeback)
 }
 
--- a/internal/tally/doc.go
+++ b/internal/tally/doc.go
@@ -60,6 +60,9 @@
 	// urgentShare is the part of the bucket below which each look reports, as a
 	// divisor.
 	urgentShare = 3
+	// unevenness is how many times its even part of the rate a host that refuses
+	// requests is taken to get, since demand is not spread evenly.
+	unevenness = 3
 	// maxComeback bounds what callers are told about when to come back.
 	maxComeback = 30 * time.Second
 	// minRate bounds divisions by a rate, in tokens a second.
