Avoid hosts that say that they have no backend server

Change: such an answer counts like a host that cannot be reached.

Ruled out: the load hint's leaving flag, which would hold for 10 s after a backend server had come back.

--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -146,6 +146,9 @@
 	e.config.Chooser.Observe(host.ID, answer.Load, time.Now())
 	e.throttle.Observe(e.kind(x), answer.RefusedBeneath, time.Now())
 	if answer.Err != nil {
+		if answer.Err.Code == verdict.BackendUnreachable {
+			e.config.Chooser.Failed(host.ID, time.Now())
+		}
 		return host.ID, answer.Offered, answer.Err
 	}
 	x.answer = answer
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -1,6 +1,7 @@
 package entry_test
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"maps"
@@ -33,11 +34,13 @@
 type peers struct {
 	calls  atomic.Int64
 	answer func(n int64, request *call.Request) (*call.Answer, error)
+	// answerAt, where set, may answer in place of answer, by address.
+	answerAt func(address string) *call.Answer
 	// damage has the answers' bodies changed on the way.
 	damage bool
 }
 
-func (p *peers) Call(_ context.Context, _, method string, args, reply any) error {
+func (p *peers) Call(_ context.Context, address, method string, args, reply any) error {
 	request, ok := args.(*call.Request)
 	if !ok || method != "Owner.Call" {
 		return nil
@@ -46,6 +49,9 @@
 	if err != nil {
 		return err
 	}
+	if p.answerAt != nil {
+		answer = cmp.Or(p.answerAt(address), answer)
+	}
 	answer.ID = request.ID
 	answer.ExtraAttempts = request.ExtraAttempts
 	answer.Seal()
--- /dev/null
+++ b/internal/entry/move_test.go
@@ -0,0 +1,83 @@
+package entry_test
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"curranthold.example/curranthold/internal/admission"
+	"curranthold.example/curranthold/internal/balance"
+	"curranthold.example/curranthold/internal/call"
+	"curranthold.example/curranthold/internal/entry"
+	"curranthold.example/curranthold/internal/peer"
+	"curranthold.example/curranthold/pkg/header"
+	"curranthold.example/curranthold/pkg/object"
+	"curranthold.example/curranthold/pkg/verdict"
+)
+
+// untokened returns an entry whose backend servers pass on no call tokens, before
+// two hosts.
+func untokened(t *testing.T, p peer.Caller) http.Handler {
+	chooser := balance.New(balance.Config{Zone: "a"})
+	chooser.SetHosts(map[string][]balance.Host{"peals": {
+		{ID: "gone", Zone: "a", Address: "gone", Slots: 10},
+		{ID: "here", Zone: "a", Address: "here", Slots: 10},
+	}})
+	e, err := entry.New(entry.Config{
+		Host: "own",
+		Configuration: newReplica(t, map[string]object.Spec{
+			"peals":   object.ServiceSpec{},
+			"lookups": object.RouteSpec{PathPrefix: "/lookups", Service: "peals", Urgency: object.Normal, Open: true, Attempts: 1},
+		}),
+		Quota: plenty{}, Chooser: chooser, Peers: p, Owner: noOwner{},
+		RequestBytes: 64, DefaultTimeout: 5 * time.Second, NoCallTokens: true,
+	})
+	qt.Assert(t, err, qt.IsNil)
+	t.Cleanup(func() { _ = e.Close() })
+	return e.Callers()
+}
+
+// TestWithdrawnHostAvoided has one of two hosts say that it has no backend server.
+// Calls move to the other, and then go there at once.
+func TestWithdrawnHostAvoided(t *testing.T) {
+	p := &peers{}
+	idle := admission.Load{Limit: 10, Slots: 10, ShedFrom: object.UrgencyCount}
+	p.answer = func(int64, *call.Request) (*call.Answer, error) {
+		answer := ok()
+		answer.Load = idle
+		return answer, nil
+	}
+	p.answerAt = func(address string) *call.Answer {
+		if address == "gone" {
+			answer := refusal(verdict.NotRun, verdict.BackendUnreachable)
+			answer.Load = idle
+			return answer
+		}
+		return nil
+	}
+	handler := untokened(t, p)
+	const requests = 30
+	for range requests {
+		recorder := httptest.NewRecorder()
+		handler.ServeHTTP(recorder, httptest.NewRequest(http.MethodGet, "/lookups", nil))
+		qt.Assert(t, recorder.Header().Get(header.Verdict), qt.Equals, verdict.Ran.String())
+	}
+	qt.Assert(t, p.calls.Load() <= requests+3, qt.IsTrue, qt.Commentf("%d messages for %d requests", p.calls.Load(), requests))
+}
+
+// TestOfferedRefusalSpendsTheAttempt has a backend server refuse by protocol, on a
+// route that allows one attempt.
+func TestOfferedRefusalSpendsTheAttempt(t *testing.T) {
+	p := &peers{answer: func(int64, *call.Request) (*call.Answer, error) {
+		answer := refusal(verdict.NotRun, verdict.BackendRefused)
+		answer.Offered = true
+		return answer, nil
+	}}
+	recorder := httptest.NewRecorder()
+	untokened(t, p).ServeHTTP(recorder, httptest.NewRequest(http.MethodGet, "/lookups", nil))
+	qt.Assert(t, recorder.Header().Get(header.Verdict), qt.Equals, verdict.NotRun.String())
+	qt.Assert(t, p.calls.Load(), qt.Equals, int64(1))
+}
