Give cold backend servers half of the stated overage

Change: the pace is what the service states, times one and half of the overage that the settings state. TestPace keeps the bound.

Ruled out: a burst at the start, which the first second of the bound lacks room for beside the pace.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -34,9 +34,9 @@
 	// hold in their buckets, as a divisor. The rest covers calls beneath repeated
 	// attempts.
 	retrySlackShare = 2
-	// overageShare is the part of the stated overage by which accounts' buckets
-	// fill faster, as a divisor: a request within the limit is not refused because
-	// an estimate is late. The rest covers what is spent and not yet reported.
+	// overageShare is the part of a stated overage that is spent deliberately, as a
+	// divisor: accounts' buckets fill faster and cold backend servers are given more
+	// by that. The rest covers estimates and heartbeats that are late.
 	overageShare = 2
 	// expiryInterval is the time between two looks at the announcement.
 	expiryInterval = 500 * time.Millisecond
@@ -158,6 +158,7 @@
 		Service:      n.declaredService,
 
 		RequestIDTokens: n.adapter.foreign(),
+		ColdStretch:     1 + float64(n.settings.Limits.ColdOveragePercent)/100/overageShare,
 		IdleTimeout:     n.settings.IdleTimeout(),
 	})
 	if err != nil {
--- a/internal/owner/heartbeat.go
+++ b/internal/owner/heartbeat.go
@@ -1,6 +1,7 @@
 package owner
 
 import (
+	"cmp"
 	"errors"
 	"time"
 
@@ -129,7 +130,7 @@
 	var coldRate float64
 	if o.config.Service != nil {
 		spec := o.config.Service(a.Service)
-		coldRate = spec.ColdRate
+		coldRate = spec.ColdRate * cmp.Or(o.config.ColdStretch, 1)
 	}
 	changed := o.setBackend(a, born)
 	o.config.Admission.Announce(admission.Announcement{
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -41,6 +41,9 @@
 	// RequestIDTokens has running calls found by their RequestID, where backend
 	// servers pass on no call token.
 	RequestIDTokens bool
+	// ColdStretch is how many times what it bears a backend server is given in cold
+	// start; 0 stands for 1.
+	ColdStretch float64
 	// IdleTimeout is how long an unused connection to the backend server is kept;
 	// 0 stands for a minute.
 	IdleTimeout time.Duration
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -95,6 +95,12 @@
 	// QuotaOveragePercent is by how much client accounts may exceed their rate and
 	// burst before it counts against the fleet.
 	QuotaOveragePercent int `json:"quota-overage-percent"`
+	// ColdOveragePercent is by how much backend servers may be given more requests
+	// than they bear in cold start before it counts against the fleet.
+	ColdOveragePercent int `json:"cold-overage-percent"`
+	// RetryPercent is how many retries all nodes together may make, in per cent of
+	// the first attempts; 0 stands for 8.
+	RetryPercent int `json:"retry-percent"`
 	// MemoryBytes is what the process may use; 0 sets no limit.
 	MemoryBytes int `json:"memory-bytes"`
 	// IdleMs is how long an unused connection to the backend server is kept.
@@ -265,6 +271,8 @@
 	checkRange(note, "limits.idle-ms", s.Limits.IdleMs, 1, maxTimeoutMs)
 	checkRange(note, "limits.retry-slack", s.Limits.RetrySlack, 0, maxCallsInFlight)
 	checkRange(note, "limits.quota-overage-percent", s.Limits.QuotaOveragePercent, 0, 100)
+	checkRange(note, "limits.cold-overage-percent", s.Limits.ColdOveragePercent, 0, 1000)
+	checkRange(note, "limits.retry-percent", s.Limits.RetryPercent, 0, 100)
 	checkRange(note, "limits.memory-bytes", s.Limits.MemoryBytes, 0, math.MaxInt)
 }
 
