Send repeatable requests again after a backend server's own failure

Nodes earned 8 % retries where the settings state 20 %.

Change: a repeatable request goes to another backend server after a failure that no refusal beneath explains, within attempts and budget; if that one does no better, the caller gets the answer that there was. Nodes earn 0.6 of the stated share. TestFailedAnswer fails without it.

Ruled out: repeating a tree whose calls were refused, which would refuse more.

--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"net/http"
 	"strconv"
 	"sync/atomic"
 	"time"
@@ -38,20 +39,25 @@
 		e.countFirst(x)
 		var excluded []string
 		var earlier *verdict.Error
+		var spare *call.Answer
 		mayHaveRun := false
 		for attempt := 1; ; attempt++ {
 			host, offered, err := e.attempt(ctx, x, attempt, excluded)
+			if err == nil {
+				err = e.failedAnswer(x)
+				spare = x.answer
+			}
 			if err == nil {
 				return nil
 			}
 			failure := verdict.From(err)
 			if earlier != nil && failure.Code == verdict.NoHost {
-				return settle(earlier, mayHaveRun) // every host was tried
+				return x.settle(earlier, mayHaveRun, spare) // every host was tried
 			}
 			earlier = failure
 			mayHaveRun = mayHaveRun || failure.Verdict == verdict.MayHaveRun
 			if !e.mayRetry(ctx, x, failure, offered) {
-				return settle(failure, mayHaveRun)
+				return x.settle(failure, mayHaveRun, spare)
 			}
 			metricRetries.Add(1)
 			e.log.again(x, host, attempt, failure)
@@ -60,7 +66,7 @@
 				excluded = append(excluded, host)
 			}
 			if !sleep(ctx, retry.Backoff(attempt, rand.Float64)) {
-				return settle(failure, mayHaveRun)
+				return x.settle(failure, mayHaveRun, spare)
 			}
 		}
 	}
@@ -92,6 +98,26 @@
 		x.budget.Take()
 }
 
+// failedAnswer returns an error for a backend server's answer that tells of its
+// own failure, where another may do better: not for one that failed because calls
+// beneath it were refused, which would be made again.
+func (e *Entry) failedAnswer(x *exchange) error {
+	if !e.config.NoCallTokens || x.answer.Status < http.StatusInternalServerError || x.answer.RefusedBeneath || x.request.Repeated {
+		return nil
+	}
+	return verdict.New(verdict.MayHaveRun, verdict.BackendFailed, "the backend server answered with status %d", x.answer.Status)
+}
+
+// settle ends a call whose last attempt failed: with an answer of an earlier
+// attempt, if there is one.
+func (x *exchange) settle(failure *verdict.Error, mayHaveRun bool, spare *call.Answer) error {
+	if spare == nil {
+		return settle(failure, mayHaveRun)
+	}
+	x.answer = spare
+	return nil
+}
+
 // settle gives the error of the last attempt the verdict of the whole call: if
 // an earlier attempt may have run, the call may have run.
 func settle(failure *verdict.Error, mayHaveRun bool) error {
--- a/internal/entry/codec.go
+++ b/internal/entry/codec.go
@@ -107,6 +107,7 @@
 	verdict.ClaimHeld:          http.StatusConflict,
 	verdict.PeerExchangeBroken: http.StatusBadGateway,
 	verdict.BackendBroken:      http.StatusBadGateway,
+	verdict.BackendFailed:      http.StatusBadGateway,
 	verdict.AnswerTooLarge:     http.StatusBadGateway,
 	verdict.AnswerMismatch:     http.StatusBadGateway,
 	verdict.Internal:           http.StatusInternalServerError,
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -86,6 +86,8 @@
 	// ExtraAttempts is the attempt budget of a root call beyond its first
 	// attempt.
 	ExtraAttempts int
+	// RetryShare is what one first attempt earns in retries; 0 stands for 0.08.
+	RetryShare float64
 	// NoCallTokens says that backend servers present no call tokens. Each call is
 	// then a root of its own, whose budget of attempts counts the backend servers
 	// that were offered it and is not shared with the calls beneath it.
@@ -120,6 +122,7 @@
 		config.Codec = ownCodec{}
 	}
 	e := &Entry{config: config, log: newRequestLog()}
+	e.retries.SetShare(config.RetryShare)
 	if config.NoCallTokens {
 		e.throttle.Excess = treeExcess
 	}
--- a/internal/entry/move_test.go
+++ b/internal/entry/move_test.go
@@ -31,6 +31,8 @@
 		Configuration: newReplica(t, map[string]object.Spec{
 			"peals":   object.ServiceSpec{},
 			"lookups": object.RouteSpec{PathPrefix: "/lookups", Service: "peals", Urgency: object.Normal, Open: true, Attempts: 1},
+			"twice":   object.RouteSpec{PathPrefix: "/twice", Service: "peals", Urgency: object.Normal, Open: true, Attempts: 2},
+			"records": object.RouteSpec{PathPrefix: "/records", Service: "peals", Urgency: object.Normal, Open: true, Attempts: 2, NonRepeatable: true},
 		}),
 		Quota: plenty{}, Chooser: chooser, Peers: p, Owner: noOwner{},
 		RequestBytes: 64, DefaultTimeout: 5 * time.Second, NoCallTokens: true,
@@ -81,3 +83,45 @@
 	qt.Assert(t, recorder.Header().Get(header.Verdict), qt.Equals, verdict.NotRun.String())
 	qt.Assert(t, p.calls.Load(), qt.Equals, int64(1))
 }
+
+// TestFailedAnswer has a backend server answer with a failure of its own. A request
+// that may be repeated is sent to another; where that fails too, the caller gets the
+// answer that there was.
+func TestFailedAnswer(t *testing.T) {
+	idle := admission.Load{Limit: 10, Slots: 10, ShedFrom: object.UrgencyCount}
+	failed := func() *call.Answer {
+		return &call.Answer{Status: 500, Body: []byte("sorry"), Load: idle, Offered: true}
+	}
+	served := func() *call.Answer {
+		return &call.Answer{Status: 200, Body: []byte("whole"), Load: idle, Offered: true}
+	}
+	beneath := failed()
+	beneath.RefusedBeneath = true
+	refused := refusal(verdict.NotRun, verdict.Overloaded)
+	refused.Load = idle
+	tests := map[string]struct {
+		route   string
+		answers []*call.Answer
+		status  int
+		sent    int64
+	}{
+		"another serves":       {"/twice", []*call.Answer{failed(), served()}, 200, 2},
+		"another fails":        {"/twice", []*call.Answer{failed(), failed()}, 500, 2},
+		"another refuses":      {"/twice", []*call.Answer{failed(), refused, refused}, 500, 2},
+		"one attempt":          {"/lookups", []*call.Answer{failed(), served()}, 500, 1},
+		"refused beneath":      {"/twice", []*call.Answer{beneath, served()}, 500, 1},
+		"must not be repeated": {"/records", []*call.Answer{failed(), served()}, 500, 1},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			p := &peers{answer: func(n int64, _ *call.Request) (*call.Answer, error) {
+				answer := *test.answers[n-1]
+				return &answer, nil
+			}}
+			recorder := httptest.NewRecorder()
+			untokened(t, p).ServeHTTP(recorder, httptest.NewRequest(http.MethodGet, test.route, nil))
+			qt.Check(t, recorder.Code, qt.Equals, test.status)
+			qt.Check(t, p.calls.Load(), qt.Equals, test.sent)
+		})
+	}
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -30,6 +30,9 @@
 const (
 	// refuseNotice is how long it then refuses calls, before nothing listens.
 	refuseNotice = 500 * time.Millisecond
+	// retryShare is the part of the stated share of retries that nodes earn. The
+	// rest covers calls beneath repeated attempts.
+	retryShare = 0.6
 	// retrySlackShare is the part of the fleet's retries in advance that nodes
 	// hold in their buckets, as a divisor. The rest covers calls beneath repeated
 	// attempts.
@@ -169,6 +172,7 @@
 		Service:         n.settings.Service,
 		Codec:           n.adapter.Callers,
 		NoCallTokens:    n.adapter.foreign(),
+		RetryShare:      float64(n.settings.Limits.RetryPercent) / 100 * retryShare,
 		Configuration:   n.configuration,
 		Chooser:         n.chooser,
 		Peers:           n.pool,
--- a/internal/retry/bucket.go
+++ b/internal/retry/bucket.go
@@ -1,6 +1,7 @@
 package retry
 
 import (
+	"cmp"
 	"sync/atomic"
 
 	"curranthold.example/curranthold/internal/metric"
@@ -38,8 +39,16 @@
 	// slack is the stated capacity, in thousandths of a retry; 0 stands for
 	// milliCapacity.
 	slack atomic.Int64
+	// share is what one first attempt earns, in thousandths of a retry; 0 stands
+	// for milliPerFirst.
+	share atomic.Int64
 }
 
+// SetShare states what one first attempt earns, as a share of a retry.
+func (b *Bucket) SetShare(share float64) { b.share.Store(int64(share * milliRetry)) }
+
+func (b *Bucket) perFirst() int64 { return cmp.Or(b.share.Load(), milliPerFirst) }
+
 // SetSlack states how many retries the bucket holds in advance of first
 // attempts, where nodes share a stated number. It may be a fraction.
 func (b *Bucket) SetSlack(retries float64) {
@@ -57,7 +66,7 @@
 func (b *Bucket) First() {
 	for {
 		used := b.used.Load()
-		if used <= 0 || b.used.CompareAndSwap(used, max(used-milliPerFirst, 0)) {
+		if used <= 0 || b.used.CompareAndSwap(used, max(used-b.perFirst(), 0)) {
 			return
 		}
 	}
--- a/pkg/verdict/code.go
+++ b/pkg/verdict/code.go
@@ -33,6 +33,7 @@
 	BackendUnreachable Code = "backend-unreachable"
 	BackendRefused     Code = "backend-refused"
 	BackendBroken      Code = "backend-broken"
+	BackendFailed      Code = "backend-failed"
 	AnswerTooLarge     Code = "answer-too-large"
 	AnswerMismatch     Code = "answer-mismatch"
 	Cancelled          Code = "cancelled"
