Stop within the grace time; keep announcements as long as heartbeats may miss

With work in hand to the end a node stopped after 6.4 s of 6 s: a second for idle connections came after the bound. An announcement held for 4 s, whatever the interval of the heartbeats.

Ruled out: the store's absence alone (the directory's row is bounded by the store's timeout).

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -30,6 +30,8 @@
 const (
 	// refuseNotice is how long it then refuses calls, before nothing listens.
 	refuseNotice = 500 * time.Millisecond
+	// closeTimeout bounds the wait for idle connections when the servers close.
+	closeTimeout = 300 * time.Millisecond
 	// retryShare is the part of the stated share of retries that nodes earn. The
 	// rest covers calls beneath repeated attempts.
 	retryShare = 0.6
@@ -161,6 +163,7 @@
 		Service:      n.declaredService,
 
 		RequestIDTokens: n.adapter.foreign(),
+		AnnouncementTTL: n.settings.AnnouncementTTL(),
 		ColdStretch:     1 + float64(n.settings.Limits.ColdOveragePercent)/100/overageShare,
 		IdleTimeout:     n.settings.IdleTimeout(),
 	})
@@ -301,7 +304,7 @@
 		_ = n.quota.Close()
 		errs = append(errs, n.claims.Close())
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
 	defer cancel()
 	for _, server := range n.servers {
 		if server.Shutdown(ctx) != nil {
--- a/internal/owner/announce.go
+++ b/internal/owner/announce.go
@@ -1,6 +1,7 @@
 package owner
 
 import (
+	"cmp"
 	"encoding/json"
 	"net/http"
 	"net/netip"
@@ -12,7 +13,7 @@
 )
 
 const (
-	// announcementTTL is how long an announcement holds without a repeat.
+	// announcementTTL stands in for an AnnouncementTTL of 0.
 	announcementTTL = 4 * time.Second
 	// maxAnnouncementBytes bounds the body of an announcement.
 	maxAnnouncementBytes = 4 << 10
@@ -108,7 +109,7 @@
 	o.mu.Lock()
 	b, seen := o.backend, o.lastSeen
 	o.mu.Unlock()
-	if b != nil && now.Sub(seen) > announcementTTL {
+	if b != nil && now.Sub(seen) > cmp.Or(o.config.AnnouncementTTL, announcementTTL) {
 		o.Withdraw(b.announcement.Service)
 	}
 }
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -41,6 +41,9 @@
 	// RequestIDTokens has running calls found by their RequestID, where backend
 	// servers pass on no call token.
 	RequestIDTokens bool
+	// AnnouncementTTL is how long an announcement holds without a repeat; 0 stands
+	// for 4 s.
+	AnnouncementTTL time.Duration
 	// ColdStretch is how many times what it bears a backend server is given in cold
 	// start; 0 stands for 1.
 	ColdStretch float64
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -101,6 +101,9 @@
 	// RetryPercent is how many retries all nodes together may make, in per cent of
 	// the first attempts; 0 stands for 8.
 	RetryPercent int `json:"retry-percent"`
+	// AnnouncementMs is how long what the backend server announced of itself holds
+	// without a repeat.
+	AnnouncementMs int `json:"announcement-ms"`
 	// MemoryBytes is what the process may use; 0 sets no limit.
 	MemoryBytes int `json:"memory-bytes"`
 	// IdleMs is how long an unused connection to the backend server is kept.
@@ -163,6 +166,7 @@
 			ExtraAttempts:    3,
 			ShutdownMs:       10_000,
 			LeaveNoticeMs:    1000,
+			AnnouncementMs:   4000,
 			IdleMs:           60_000,
 		},
 	}
@@ -191,6 +195,9 @@
 // IdleTimeout is how long an unused connection to the backend server is kept.
 func (s Settings) IdleTimeout() time.Duration { return milliseconds(s.Limits.IdleMs) }
 
+// AnnouncementTTL is how long an announcement holds without a repeat.
+func (s Settings) AnnouncementTTL() time.Duration { return milliseconds(s.Limits.AnnouncementMs) }
+
 // Shutdown bounds a graceful shutdown.
 func (s Settings) Shutdown() time.Duration { return milliseconds(s.Limits.ShutdownMs) }
 
@@ -273,6 +280,7 @@
 	checkRange(note, "limits.quota-overage-percent", s.Limits.QuotaOveragePercent, 0, 100)
 	checkRange(note, "limits.cold-overage-percent", s.Limits.ColdOveragePercent, 0, 1000)
 	checkRange(note, "limits.retry-percent", s.Limits.RetryPercent, 0, 100)
+	checkRange(note, "limits.announcement-ms", s.Limits.AnnouncementMs, 1, maxTimeoutMs)
 	checkRange(note, "limits.memory-bytes", s.Limits.MemoryBytes, 0, math.MaxInt)
 }
 
