--- a/internal/tally/account.go
+++ b/internal/tally/account.go
@@ -1,9 +1,6 @@
 package tally
 
-import (
-	"math"
-	"time"
-)
+import "time"
 
 // account is what a host knows of one client account. It is not safe for
 // concurrent use.
@@ -24,16 +21,14 @@
 	returns time.Time
 	// refused is set once a request was refused since the last report.
 	refused bool
-	// rate is what this host spends, in requests a second, as of measured.
-	rate     float64
-	measured time.Time
-	counted  uint64
+	// spent is what this host spends.
+	spent flow
 }
 
 func newAccount(name string, limit Limit, now time.Time) *account {
 	return &account{
 		name: name, limit: limit, refill: limit.Rate, level: limit.capacity() / startShare,
-		updated: now, answered: now, measured: now,
+		updated: now, answered: now,
 	}
 }
 
@@ -57,7 +52,7 @@
 	a.updated = now
 	growth := a.refill - a.others
 	if now.Sub(a.answered) > isolatedAfter && (a.refused || a.total != a.reported) {
-		growth = max(a.limit.Rate*share, min(a.rate, a.limit.Rate/2))
+		growth = max(a.limit.Rate*share, min(a.spent.rate(now), a.limit.Rate/2))
 	}
 	a.level = min(a.level+growth*elapsed, a.limit.capacity())
 }
@@ -74,6 +69,7 @@
 	}
 	a.level--
 	a.total++
+	a.spent.add(1, now)
 	return true
 }
 
@@ -108,23 +104,6 @@
 		unreported*float64(max(hosts, 1)) >= a.limit.Rate*lateness.Seconds()
 }
 
-// measure updates the rate at which this host spends.
-func (a *account) measure(now time.Time) {
-	elapsed := now.Sub(a.measured)
-	if elapsed < reportInterval {
-		return
-	}
-	a.rate = smooth(a.rate, float64(a.total-a.counted)/elapsed.Seconds(), elapsed)
-	a.measured = now
-	a.counted = a.total
-}
-
-// smooth moves a rate towards what was measured over the elapsed time.
-func smooth(rate, measured float64, elapsed time.Duration) float64 {
-	keep := math.Exp(-float64(elapsed) / float64(rateMemory))
-	return rate*keep + measured*(1-keep)
-}
-
 // learn takes the home's answer to a report of total.
 func (a *account) learn(now time.Time, total uint64, s State) {
 	a.answered = now
--- a/internal/tally/home.go
+++ b/internal/tally/home.go
@@ -1,6 +1,9 @@
 package tally
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // ledger is a home's account of one client account. It is not safe for
 // concurrent use.
@@ -8,38 +11,75 @@
 	limit   Limit
 	level   float64
 	updated time.Time
-	hosts   map[string]*spender
+	// spent is what all hosts spend.
+	spent flow
+	hosts map[string]*spender
+	// swept is when hosts that are long silent were last dropped.
+	swept time.Time
 }
 
 // spender is one host that spends from a ledger.
 type spender struct {
 	incarnation uint64
 	total       uint64
-	rate        float64
+	spent       flow
 	heard       time.Time
 }
 
+// flow measures a rate of tokens, with less weight the longer ago they were spent.
+// The zero value is a rate of 0.
+type flow struct {
+	perSecond float64
+	updated   time.Time
+}
+
+// add counts tokens that were spent until now.
+func (f *flow) add(tokens float64, now time.Time) {
+	f.perSecond = f.rate(now) + tokens/rateMemory.Seconds()
+	f.updated = now
+}
+
+// rate returns the rate in tokens a second.
+func (f *flow) rate(now time.Time) float64 {
+	return f.perSecond * math.Exp(-float64(now.Sub(f.updated))/float64(rateMemory))
+}
+
 func newLedger(limit Limit, level float64, now time.Time) *ledger {
-	return &ledger{limit: limit, level: min(level, limit.capacity()), updated: now, hosts: make(map[string]*spender)}
+	return &ledger{
+		limit: limit, level: min(level, limit.capacity()), updated: now, swept: now, hosts: make(map[string]*spender),
+	}
 }
 
 // hear takes in what a host has spent. Refill is the rate at which the bucket is
-// filled.
+// filled. Its time does not grow with the number of hosts.
 func (l *ledger) hear(now time.Time, host string, incarnation uint64, s Spending, refill float64) State {
 	l.level = min(l.level+refill*now.Sub(l.updated).Seconds(), l.limit.capacity())
 	l.updated = now
+	l.sweep(now)
 	from := l.spender(now, host, incarnation, s)
-	if incarnation < from.incarnation || s.Total < from.total {
-		return State{Level: l.level, Others: l.others(now, host), Refill: refill}
+	if incarnation >= from.incarnation && s.Total >= from.total {
+		// What another home has acknowledged meanwhile was taken from its bucket.
+		spent := float64(min(s.Total-from.total, s.Unreported))
+		from.total, from.heard = s.Total, now
+		from.spent.add(spent, now)
+		l.spent.add(spent, now)
+		l.level -= spent
 	}
-	// What another home has acknowledged meanwhile was taken from its bucket.
-	spent := float64(min(s.Total-from.total, s.Unreported))
-	if elapsed := now.Sub(from.heard); elapsed > 0 {
-		from.rate = smooth(from.rate, spent/elapsed.Seconds(), elapsed)
+	others := max(l.spent.rate(now)-from.spent.rate(now), 0)
+	return State{Level: l.level, Others: others, Refill: refill}
+}
+
+// sweep drops hosts that have been silent for so long that nothing is kept for them.
+func (l *ledger) sweep(now time.Time) {
+	if now.Sub(l.swept) < forgetAfter {
+		return
+	}
+	l.swept = now
+	for id, s := range l.hosts {
+		if now.Sub(s.heard) > forgetAfter {
+			delete(l.hosts, id)
+		}
 	}
-	from.total, from.heard = s.Total, now
-	l.level -= spent
-	return State{Level: l.level, Others: l.others(now, host), Refill: refill}
 }
 
 // spender returns the record of a host. Of a host that was not known, only what
@@ -56,26 +96,11 @@
 	return from
 }
 
-// others returns what the other hosts spend, in requests a second.
-func (l *ledger) others(now time.Time, host string) float64 {
-	sum := 0.0
-	for id, s := range l.hosts {
-		silent := now.Sub(s.heard)
-		switch {
-		case silent > forgetAfter:
-			delete(l.hosts, id)
-		case id != host:
-			sum += smooth(s.rate, 0, max(silent-calmInterval, 0))
-		}
-	}
-	return sum
-}
-
 // reserve returns the rate that is kept for a host that cannot be heard: its
 // even part, or what it spent last.
 func (l *ledger) reserve(host string, even float64) float64 {
 	if s, known := l.hosts[host]; known {
-		return max(even, min(s.rate, l.limit.Rate/2))
+		return max(even, min(s.spent.rate(s.heard), l.limit.Rate/2))
 	}
 	return even
 }
--- a/internal/tally/manager.go
+++ b/internal/tally/manager.go
@@ -174,7 +174,6 @@
 	m.forget(now)
 	reports := make(map[Host]*ReportArgs)
 	for _, a := range m.accounts {
-		a.measure(now)
 		if !a.due(now, len(m.hosts)) && (!all || a.total == a.reported) {
 			continue
 		}
