--- a/internal/node/connect.go
+++ b/internal/node/connect.go
@@ -6,7 +6,6 @@
 	"curranthold.example/curranthold/internal/configuration"
 	"curranthold.example/curranthold/internal/membership"
 	"curranthold.example/curranthold/internal/quota"
-	"curranthold.example/curranthold/internal/tally"
 	"curranthold.example/curranthold/pkg/object"
 )
 
@@ -34,20 +33,18 @@
 		configured []configuration.Host
 		limited    []quota.Host
 		claimed    []claim.Host
-		counted    []tally.Host
 	)
 	for _, m := range members {
 		configured = append(configured, configuration.Host{ID: m.ID, Zone: m.Zone, Address: m.Address})
 		if !m.Leaving || m.ID == n.settings.Host {
 			limited = append(limited, quota.Host{ID: m.ID, Zone: m.Zone, Address: m.Address})
 			claimed = append(claimed, claim.Host{ID: m.ID, Zone: m.Zone, Address: m.Address})
-			counted = append(counted, tally.Host{ID: m.ID, Zone: m.Zone, Address: m.Address})
 		}
 	}
 	n.configuration.SetHosts(configured)
 	n.noteLeaving(members)
 	if n.adapter.foreign() {
-		n.tally.SetHosts(counted, n.leaving)
+		n.tally.SetHosts(limited, n.leaving)
 		n.entry.SetRetrySlack(n.retrySlack(n.settings.Limits.RetrySlack, len(members)))
 		return
 	}
@@ -108,18 +105,17 @@
 
 // limitAccounts hands the limits of the client accounts to what keeps them.
 func (n *Node) limitAccounts(s *configuration.Snapshot) {
+	stretch := 1.0
 	if n.adapter.foreign() {
-		limits := make(map[string]tally.Limit)
-		stretch := 1 + float64(n.settings.Limits.QuotaOveragePercent)/100/overageShare
-		for name, spec := range s.Accounts() {
-			limits[name] = tally.Limit{Rate: spec.Rate * stretch, Burst: spec.Burst}
-		}
-		n.tally.SetAccounts(limits)
-		return
+		stretch += float64(n.settings.Limits.QuotaOveragePercent) / 100 / overageShare
 	}
-	limits := make(map[string]quota.Limit)
+	limits := make(map[string]quota.Limit, len(s.Accounts()))
 	for name, spec := range s.Accounts() {
-		limits[name] = quota.Limit{Rate: spec.Rate, Burst: spec.Burst}
+		limits[name] = quota.Limit{Rate: spec.Rate * stretch, Burst: spec.Burst}
+	}
+	if n.adapter.foreign() {
+		n.tally.SetAccounts(limits)
+		return
 	}
 	n.quota.SetAccounts(limits)
 }
--- a/internal/tally/account.go
+++ b/internal/tally/account.go
@@ -1,12 +1,16 @@
 package tally
 
-import "time"
+import (
+	"time"
+
+	"curranthold.example/curranthold/internal/quota"
+)
 
 // account is what a host knows of one client account. It is not safe for
 // concurrent use.
 type account struct {
 	name  string
-	limit Limit
+	limit quota.Limit
 	// level is the estimate of the tokens left as of updated.
 	level   float64
 	updated time.Time
@@ -25,21 +29,21 @@
 	spent flow
 }
 
-func newAccount(name string, limit Limit, now time.Time) *account {
+func newAccount(name string, limit quota.Limit, now time.Time) *account {
 	return &account{
-		name: name, limit: limit, refill: limit.Rate, level: limit.capacity() / startShare,
+		name: name, limit: limit, refill: limit.Rate, level: capacity(limit) / startShare,
 		updated: now, answered: now,
 	}
 }
 
-func (a *account) setLimit(limit Limit) {
+func (a *account) setLimit(limit quota.Limit) {
 	if a.limit.Rate > 0 {
 		a.refill *= limit.Rate / a.limit.Rate
 	} else {
 		a.refill = limit.Rate
 	}
 	a.limit = limit
-	a.level = min(a.level, limit.capacity())
+	a.level = min(a.level, capacity(limit))
 }
 
 // advance brings the estimate up to now. Share is this host's part of the rate
@@ -54,7 +58,7 @@
 	if now.Sub(a.answered) > isolatedAfter && (a.refused || a.total != a.reported) {
 		growth = max(a.limit.Rate*share, min(a.spent.rate(now), a.limit.Rate/2))
 	}
-	a.level = min(a.level+growth*elapsed, a.limit.capacity())
+	a.level = min(a.level+growth*elapsed, capacity(a.limit))
 }
 
 // spend takes a token and reports whether there was one.
@@ -100,7 +104,7 @@
 		return false
 	}
 	return now.Sub(a.sent) >= calmInterval ||
-		a.level < a.limit.capacity()/urgentShare ||
+		a.level < capacity(a.limit)/urgentShare ||
 		unreported*float64(max(hosts, 1)) >= a.limit.Rate*lateness.Seconds()
 }
 
@@ -109,6 +113,6 @@
 	a.answered = now
 	a.reported = max(a.reported, total)
 	a.others, a.refill = s.Others, s.Refill
-	a.level = min(s.Level-float64(a.total-total), a.limit.capacity())
+	a.level = min(s.Level-float64(a.total-total), capacity(a.limit))
 	a.updated = now
 }
--- a/internal/tally/bench_test.go
+++ b/internal/tally/bench_test.go
@@ -4,6 +4,8 @@
 	"context"
 	"fmt"
 	"testing"
+
+	"curranthold.example/curranthold/internal/quota"
 )
 
 // BenchmarkSpend spends a token by the host's own estimate, at several numbers of
@@ -12,9 +14,9 @@
 	for _, accounts := range []int{8, 10_000} {
 		b.Run(fmt.Sprintf("accounts=%d", accounts), func(b *testing.B) {
 			m := New(Config{Host: "host"})
-			limits := make(map[string]Limit, accounts)
+			limits := make(map[string]quota.Limit, accounts)
 			for i := range accounts {
-				limits[fmt.Sprintf("account-%d", i)] = Limit{Rate: 1e12, Burst: 1e12}
+				limits[fmt.Sprintf("account-%d", i)] = quota.Limit{Rate: 1e12, Burst: 1e12}
 			}
 			m.SetAccounts(limits)
 			b.ReportAllocs()
@@ -31,7 +33,7 @@
 	for _, hosts := range []int{16, 1024, 8100} {
 		b.Run(fmt.Sprintf("hosts=%d", hosts), func(b *testing.B) {
 			m := New(Config{Host: "home"})
-			m.SetAccounts(map[string]Limit{"account": {Rate: 1e9, Burst: 1e9}})
+			m.SetAccounts(map[string]quota.Limit{"account": {Rate: 1e9, Burst: 1e9}})
 			names := make([]string, hosts)
 			for i := range names {
 				names[i] = fmt.Sprintf("host-%d", i)
--- a/internal/tally/doc.go
+++ b/internal/tally/doc.go
@@ -16,22 +16,9 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
-)
-
-// Host is a live host as membership sees it.
-type Host struct {
-	ID      string
-	Zone    string
-	Address string
-}
 
-// Limit is the limit of one client account over the whole fleet.
-type Limit struct {
-	// Rate is in requests a second; 0 means that there is no limit.
-	Rate float64
-	// Burst is in requests.
-	Burst float64
-}
+	"curranthold.example/curranthold/internal/quota"
+)
 
 const (
 	// partitionCount is the number of groups of accounts that share a home.
@@ -73,7 +60,7 @@
 )
 
 // capacity returns the most tokens that the bucket of an account holds.
-func (l Limit) capacity() float64 {
+func capacity(l quota.Limit) float64 {
 	return max(l.Burst-l.Rate*lateness.Seconds(), l.Burst/2, 1)
 }
 
--- a/internal/tally/home.go
+++ b/internal/tally/home.go
@@ -3,12 +3,14 @@
 import (
 	"math"
 	"time"
+
+	"curranthold.example/curranthold/internal/quota"
 )
 
 // ledger is a home's account of one client account. It is not safe for
 // concurrent use.
 type ledger struct {
-	limit   Limit
+	limit   quota.Limit
 	level   float64
 	updated time.Time
 	// spent is what all hosts spend.
@@ -44,16 +46,16 @@
 	return f.perSecond * math.Exp(-float64(now.Sub(f.updated))/float64(rateMemory))
 }
 
-func newLedger(limit Limit, level float64, now time.Time) *ledger {
+func newLedger(limit quota.Limit, level float64, now time.Time) *ledger {
 	return &ledger{
-		limit: limit, level: min(level, limit.capacity()), updated: now, swept: now, hosts: make(map[string]*spender),
+		limit: limit, level: min(level, capacity(limit)), updated: now, swept: now, hosts: make(map[string]*spender),
 	}
 }
 
 // hear takes in what a host has spent. Refill is the rate at which the bucket is
 // filled. Its time does not grow with the number of hosts.
 func (l *ledger) hear(now time.Time, host string, incarnation uint64, s Spending, refill float64) State {
-	l.level = min(l.level+refill*now.Sub(l.updated).Seconds(), l.limit.capacity())
+	l.level = min(l.level+refill*now.Sub(l.updated).Seconds(), capacity(l.limit))
 	l.updated = now
 	l.sweep(now)
 	from := l.spender(now, host, incarnation, s)
--- a/internal/tally/manager.go
+++ b/internal/tally/manager.go
@@ -11,6 +11,7 @@
 	"curranthold.example/curranthold/internal/event"
 	"curranthold.example/curranthold/internal/metric"
 	"curranthold.example/curranthold/internal/peer"
+	"curranthold.example/curranthold/internal/quota"
 	"curranthold.example/curranthold/pkg/verdict"
 )
 
@@ -44,7 +45,7 @@
 	mu       sync.Mutex
 	accounts map[string]*account
 	ledgers  map[string]*ledger
-	hosts    []Host
+	hosts    []quota.Host
 	// missing holds when hosts were lost that had not said that they leave.
 	missing map[string]time.Time
 	// avoided holds until when a host is not taken as home.
@@ -62,7 +63,7 @@
 		config:   config,
 		accounts: make(map[string]*account),
 		ledgers:  make(map[string]*ledger),
-		hosts:    []Host{{ID: config.Host, Zone: config.Zone}},
+		hosts:    []quota.Host{{ID: config.Host, Zone: config.Zone}},
 		missing:  make(map[string]time.Time),
 		avoided:  make(map[string]time.Time),
 	}
@@ -70,7 +71,7 @@
 
 // SetAccounts states the limits of all client accounts. A lower limit is in
 // force at once.
-func (m *Manager) SetAccounts(limits map[string]Limit) {
+func (m *Manager) SetAccounts(limits map[string]quota.Limit) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	now := m.config.Now()
@@ -88,14 +89,14 @@
 		}
 		if l := m.ledgers[name]; l != nil {
 			l.limit = limit
-			l.level = min(l.level, limit.capacity())
+			l.level = min(l.level, capacity(limit))
 		}
 	}
 }
 
 // SetHosts states which hosts are live, this one included. Left names hosts that
 // have announced that they leave.
-func (m *Manager) SetHosts(hosts []Host, left map[string]bool) {
+func (m *Manager) SetHosts(hosts []quota.Host, left map[string]bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	now := m.config.Now()
@@ -109,7 +110,7 @@
 			m.missing[h.ID] = now
 		}
 	}
-	m.hosts = append([]Host(nil), hosts...)
+	m.hosts = append([]quota.Host(nil), hosts...)
 }
 
 // Spend takes a token of the account. Its error is a *verdict.Error with verdict
@@ -172,7 +173,7 @@
 	}
 	now := m.config.Now()
 	m.forget(now)
-	reports := make(map[Host]*ReportArgs)
+	reports := make(map[quota.Host]*ReportArgs)
 	for _, a := range m.accounts {
 		if !a.due(now, len(m.hosts)) && (!all || a.total == a.reported) {
 			continue
@@ -209,8 +210,8 @@
 
 // home returns the home of a partition: the host with the highest score that is
 // not avoided, this host where there is no other.
-func (m *Manager) home(p int, now time.Time) Host {
-	best := Host{ID: m.config.Host, Zone: m.config.Zone}
+func (m *Manager) home(p int, now time.Time) quota.Host {
+	best := quota.Host{ID: m.config.Host, Zone: m.config.Zone}
 	bestScore := uint64(0)
 	for _, h := range m.hosts {
 		if s := score(p, h.ID); s >= bestScore && !now.Before(m.avoided[h.ID]) {
@@ -221,7 +222,7 @@
 }
 
 // report tells a home what was spent and takes in its answer.
-func (m *Manager) report(home Host, args *ReportArgs) {
+func (m *Manager) report(home quota.Host, args *ReportArgs) {
 	reply := new(ReportReply)
 	if home.ID == m.config.Host {
 		reply.States = m.hear(args)
@@ -239,7 +240,7 @@
 	}
 }
 
-func (m *Manager) send(home Host, args *ReportArgs, reply *ReportReply) error {
+func (m *Manager) send(home quota.Host, args *ReportArgs, reply *ReportReply) error {
 	ctx, cancel := context.WithTimeout(context.Background(), reportTimeout)
 	defer cancel()
 	reportMessages.Add(1)
@@ -248,7 +249,7 @@
 
 // lost has another host stand in for a home that did not answer. Where it is in
 // another zone, the zone itself may be cut off, so none of its hosts is taken.
-func (m *Manager) lost(home Host, err error) {
+func (m *Manager) lost(home quota.Host, err error) {
 	failedReports.Add(1)
 	m.mu.Lock()
 	now := m.config.Now()
--- a/internal/tally/tally_test.go
+++ b/internal/tally/tally_test.go
@@ -9,6 +9,8 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+
+	"curranthold.example/curranthold/internal/quota"
 )
 
 // network carries reports between the managers of a test.
@@ -35,21 +37,21 @@
 }
 
 // stretched returns the limit with half of the overage, as a node states it.
-func stretched(limit Limit) Limit {
-	return Limit{Rate: limit.Rate * (1 + (overage-1)/2), Burst: limit.Burst}
+func stretched(limit quota.Limit) quota.Limit {
+	return quota.Limit{Rate: limit.Rate * (1 + (overage-1)/2), Burst: limit.Burst}
 }
 
 // fleet starts n managers that know each other, two zones of half of them.
-func fleet(ctx context.Context, n int, limit Limit) *network {
+func fleet(ctx context.Context, n int, limit quota.Limit) *network {
 	net := &network{managers: make(map[string]*Manager), cut: make(map[string]map[string]bool)}
-	var hosts []Host
+	var hosts []quota.Host
 	for i := range n {
 		id := fmt.Sprintf("host-%d", i)
-		hosts = append(hosts, Host{ID: id, Zone: fmt.Sprintf("zone-%d", 2*i/n), Address: id})
+		hosts = append(hosts, quota.Host{ID: id, Zone: fmt.Sprintf("zone-%d", 2*i/n), Address: id})
 	}
 	for _, h := range hosts {
 		m := New(Config{Host: h.ID, Zone: h.Zone, Peers: line{network: net, host: h.ID}})
-		m.SetAccounts(map[string]Limit{"account": stretched(limit)})
+		m.SetAccounts(map[string]quota.Limit{"account": stretched(limit)})
 		m.SetHosts(hosts, nil)
 		net.managers[h.ID] = m
 		go func() { _ = m.Run(ctx) }()
@@ -96,7 +98,7 @@
 // TestDemand checks what is let through at loads below and above the limit, and
 // after a host's estimate was wrong.
 func TestDemand(t *testing.T) {
-	limit := Limit{Rate: 100, Burst: 100}
+	limit := quota.Limit{Rate: 100, Burst: 100}
 	tests := map[string]struct {
 		perHost float64
 		least   float64
@@ -127,10 +129,10 @@
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
 		defer cancel()
-		n := fleet(ctx, 10, Limit{Rate: 200, Burst: 200})
+		n := fleet(ctx, 10, quota.Limit{Rate: 200, Burst: 200})
 		n.demand(15, 5*time.Second)
 		for _, m := range n.managers {
-			m.SetAccounts(map[string]Limit{"account": {Rate: 50, Burst: 50}})
+			m.SetAccounts(map[string]quota.Limit{"account": {Rate: 50, Burst: 50}})
 		}
 		n.demand(15, 5*time.Second)
 		let, asked := n.demand(4, 10*time.Second)
@@ -141,7 +143,7 @@
 // TestCutZone has the two zones cut off from each other under an excess of
 // demand in both: together they keep to the limit.
 func TestCutZone(t *testing.T) {
-	limit := Limit{Rate: 100, Burst: 100}
+	limit := quota.Limit{Rate: 100, Burst: 100}
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
 		defer cancel()
@@ -172,10 +174,10 @@
 // lose has every manager learn that the hosts it cannot reach are gone.
 func (n *network) lose() {
 	for id, m := range n.managers {
-		var hosts []Host
+		var hosts []quota.Host
 		for other, o := range n.managers {
 			if !n.cut[id][other] {
-				hosts = append(hosts, Host{ID: other, Zone: o.config.Zone, Address: other})
+				hosts = append(hosts, quota.Host{ID: other, Zone: o.config.Zone, Address: other})
 			}
 		}
 		m.SetHosts(hosts, nil)
@@ -185,7 +187,7 @@
 // TestHomeReturns has an account's home not answer for a while and come back:
 // what the home that stood in has acknowledged does not count twice.
 func TestHomeReturns(t *testing.T) {
-	limit := Limit{Rate: 100, Burst: 100}
+	limit := quota.Limit{Rate: 100, Burst: 100}
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
 		defer cancel()
