Serve latency histograms

Cause: the metrics had counters alone, so that an engineer could not tell whether a request waited for room, at the backend server or at its entry.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -225,7 +225,7 @@
 func (e *Entry) refuse(reason *verdict.Error) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		meta, _ := e.config.Codec.Read(r) // A header that is wrong is refused like others.
-		x := &exchange{ticket: meta.Ticket, timeout: meta.Timeout}
+		x := &exchange{ticket: meta.Ticket, timeout: meta.Timeout, arrived: time.Now()}
 		x.request.RequestID = meta.RequestID
 		x.request.IdempotencyKey = meta.IdempotencyKey
 		e.writeError(w, x, x.judge(reason))
--- a/internal/entry/http.go
+++ b/internal/entry/http.go
@@ -123,11 +123,13 @@
 	w.WriteHeader(x.answer.Status)
 	_, _ = w.Write(x.answer.Body)
 	metricServed[x.request.Urgency].Add(1)
+	metricLatency.Record(time.Since(x.arrived))
 }
 
 func (e *Entry) writeError(w http.ResponseWriter, x *exchange, err error) {
 	failure := verdict.From(err)
 	metricRefused.Add(string(failure.Code)+"-"+failure.Verdict.String(), 1)
+	metricRefusalLatency.Record(time.Since(x.arrived))
 	e.log.ended(x, failure)
 	e.config.Codec.WriteError(w, x.request.RequestID, failure, returnAfter(x, failure))
 }
@@ -141,7 +143,7 @@
 func (e *Entry) serveTickets(w http.ResponseWriter, r *http.Request) {
 	answer, err := e.issueTickets(r.Context(), r)
 	if err != nil {
-		e.writeError(w, new(exchange), err)
+		e.writeError(w, &exchange{arrived: time.Now()}, err)
 		return
 	}
 	body, _ := json.Marshal(answer)
--- a/internal/owner/event.go
+++ b/internal/owner/event.go
@@ -16,4 +16,6 @@
 	metrics       = metric.NewGroup("owner")
 	metricServed  = metrics.Int("served")
 	metricRefused = metrics.Ints("refused-by-code")
+	metricWait    = metrics.Histogram("admission-wait-us")
+	metricBackend = metrics.Histogram("backend-latency-us")
 )
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -186,12 +186,16 @@
 // controller what became of the call.
 func admissionStage(o *Owner) kernel.Stage[*work] {
 	return func(ctx context.Context, w *work, next kernel.Handler[*work]) error {
+		arrived := time.Now()
 		ticket, err := o.admit(ctx, w.request)
+		admitted := time.Now()
+		metricWait.Record(admitted.Sub(arrived))
 		if err != nil {
 			return err
 		}
 		w.ticket = ticket
 		err = next(ctx, w)
+		metricBackend.Record(time.Since(admitted))
 		ticket.Done(outcomeOf(w.answer, err))
 		return err
 	}
