Keep accounts to their limit while a cut is not yet known

Until the membership knows of a cut, 3 s and more, both parts filled the account's bucket at the whole rate: one at its home, the other at a host that stood in.

Change: a home that stands in for another fills by the part of the hosts that report to it; a home keeps a part for a host that spent and has reported nothing for 0.8 s, as for one that is known to be gone.

Ruled out: the deliberate overage alone (half of 10 %; the excess was 853 of 680 in TestCutZone, which now waits 3.5 s until the hosts know, and failed so).

--- a/internal/tally/doc.go
+++ b/internal/tally/doc.go
@@ -41,6 +41,14 @@
 	// lateness is the time by which the sum of reports may lag; the bucket is
 	// smaller by what is spent in it at the full rate.
 	lateness = 400 * time.Millisecond
+	// unheardAfter is how long a host that spends may report nothing before the
+	// home keeps a part of the rate for it: it reports oftener than that.
+	unheardAfter = 800 * time.Millisecond
+	// countInterval is the time between two counts of the hosts that report.
+	countInterval = 150 * time.Millisecond
+	// idleShare is the part of its even part below which a host counts as one that
+	// spends nothing, as a divisor.
+	idleShare = 10
 	// startShare is the part of the bucket that a host starts with which knows
 	// nothing of the past, as a divisor.
 	startShare = 4
--- a/internal/tally/home.go
+++ b/internal/tally/home.go
@@ -16,6 +16,11 @@
 	// spent is what all hosts spend.
 	spent flow
 	hosts map[string]*spender
+	// counted is when reporting and kept were counted: the hosts that report, and
+	// the rate that is kept for those that spent and have fallen silent.
+	counted   time.Time
+	reporting int
+	kept      float64
 	// swept is when hosts that are long silent were last dropped.
 	swept time.Time
 }
@@ -71,6 +76,26 @@
 	return State{Level: l.level, Others: others, Refill: refill}
 }
 
+// count counts the hosts that report, and what is kept for others: even for a host
+// that has fallen silent, or what it spent last. Missing hosts are those that are
+// known to be gone, for which their home keeps a part as well.
+func (l *ledger) count(now time.Time, even float64, missing map[string]time.Time) {
+	if now.Sub(l.counted) < countInterval {
+		return
+	}
+	l.counted = now
+	l.reporting, l.kept = 0, 0
+	for id, s := range l.hosts {
+		_, gone := missing[id]
+		switch {
+		case now.Sub(s.heard) <= unheardAfter:
+			l.reporting++
+		case !gone && now.Sub(s.heard) <= forgetAfter && s.spent.rate(s.heard) > even/idleShare:
+			l.kept += l.reserve(id, even)
+		}
+	}
+}
+
 // sweep drops hosts that have been silent for so long that nothing is kept for them.
 func (l *ledger) sweep(now time.Time) {
 	if now.Sub(l.swept) < forgetAfter {
--- a/internal/tally/manager.go
+++ b/internal/tally/manager.go
@@ -46,6 +46,8 @@
 	accounts map[string]*account
 	ledgers  map[string]*ledger
 	hosts    []quota.Host
+	// first are the homes of the partitions among all live hosts.
+	first [partitionCount]quota.Host
 	// missing holds when hosts were lost that had not said that they leave.
 	missing map[string]time.Time
 	// avoided holds until when a host is not taken as home.
@@ -59,7 +61,7 @@
 	if config.Now == nil {
 		config.Now = time.Now
 	}
-	return &Manager{
+	m := &Manager{
 		config:   config,
 		accounts: make(map[string]*account),
 		ledgers:  make(map[string]*ledger),
@@ -67,6 +69,8 @@
 		missing:  make(map[string]time.Time),
 		avoided:  make(map[string]time.Time),
 	}
+	m.chooseFirst()
+	return m
 }
 
 // SetAccounts states the limits of all client accounts. A lower limit is in
@@ -111,6 +115,14 @@
 		}
 	}
 	m.hosts = append([]quota.Host(nil), hosts...)
+	m.chooseFirst()
+}
+
+// chooseFirst notes the home of each partition among all live hosts.
+func (m *Manager) chooseFirst() {
+	for p := range m.first {
+		m.first[p] = m.highest(p, func(quota.Host) bool { return true })
+	}
 }
 
 // Spend takes a token of the account. Its error is a *verdict.Error with verdict
@@ -211,10 +223,16 @@
 // home returns the home of a partition: the host with the highest score that is
 // not avoided, this host where there is no other.
 func (m *Manager) home(p int, now time.Time) quota.Host {
+	return m.highest(p, func(h quota.Host) bool { return !now.Before(m.avoided[h.ID]) })
+}
+
+// highest returns the eligible host with the highest score, this host where there
+// is none.
+func (m *Manager) highest(p int, eligible func(quota.Host) bool) quota.Host {
 	best := quota.Host{ID: m.config.Host, Zone: m.config.Zone}
 	bestScore := uint64(0)
 	for _, h := range m.hosts {
-		if s := score(p, h.ID); s >= bestScore && !now.Before(m.avoided[h.ID]) {
+		if s := score(p, h.ID); s >= bestScore && eligible(h) {
 			best, bestScore = h, s
 		}
 	}
@@ -282,15 +300,22 @@
 			l = newLedger(a.limit, s.Level+float64(s.Unreported), now)
 			m.ledgers[s.Account] = l
 		}
-		states[i] = l.hear(now, args.Host, args.Incarnation, s, m.refill(l))
+		states[i] = l.hear(now, args.Host, args.Incarnation, s, m.refill(l, partitionOf(s.Account), now))
 	}
 	return states
 }
 
-// refill returns the rate of an account less what is kept for missing hosts.
-func (m *Manager) refill(l *ledger) float64 {
+// refill returns the rate at which this host fills the bucket of an account: the
+// rate less what is kept for hosts that cannot be heard. Where it stands in for
+// another home, which may be at work out of reach, it fills by the part of the hosts
+// that report to it.
+func (m *Manager) refill(l *ledger, partition int, now time.Time) float64 {
 	even := l.limit.Rate * m.share()
-	kept := 0.0
+	l.count(now, even, m.missing)
+	if m.first[partition].ID != m.config.Host {
+		return even * float64(max(l.reporting, 1))
+	}
+	kept := l.kept
 	for id := range m.missing {
 		kept += l.reserve(id, even)
 	}
--- a/internal/tally/tally_test.go
+++ b/internal/tally/tally_test.go
@@ -140,6 +140,9 @@
 	})
 }
 
+// untilLost is how long it takes until the membership knows that hosts are gone.
+const untilLost = 3500 * time.Millisecond
+
 // TestCutZone has the two zones cut off from each other under an excess of
 // demand in both: together they keep to the limit.
 func TestCutZone(t *testing.T) {
@@ -151,7 +154,7 @@
 		var let []time.Time
 		first, _ := n.demand(40, 5*time.Second)
 		n.cutZones()
-		second, _ := n.demand(40, time.Second)
+		second, _ := n.demand(40, untilLost)
 		n.lose()
 		third, _ := n.demand(40, 10*time.Second)
 		let = append(append(append(let, first...), second...), third...)
