Bound what a backend server's response may send, and match copies without a name

Cause: net/http reads up to 10 MB of response header on each connection; of a body the owner held up to answer-bytes for each connection at once; a refusal with a slow body was reported only when the body had ended; and a response without identifier was taken for the present request's, although the backend server names the request in all others, so that a late copy reached the next caller on the connection. net/http itself drops copies only while a connection is idle. Ruled out: responses that break off (TestBrokenOff passed before as well), and requests sent again to the same server (the balancer excludes it). Change: a limit on response headers, with informational ones, as a setting (8 KiB); large bodies are read a few at a time (large-answers, by the host's memory on the users' platform); a refusal's body is read for 20 ms and 4 KiB at the most; once a backend server has named the request in a response, one without the name is a mismatch, may-have-run, and idle connections are closed. internal/standin gets a server of raw connections to test this. Conclusion: mended for the owner's connections.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -162,12 +162,14 @@
 func (n *Node) buildCallPath() error {
 	var err error
 	n.owner, err = owner.New(owner.Config{
-		AnswerBytes:     int64(n.settings.Limits.AnswerBytes),
-		Admission:       n.admission,
-		OnBackendChange: func(a owner.Announcement) { n.members.Announce(a.Service, a.Slots, a.Cold) },
-		IsKeyWithdrawn:  n.isKeyWithdrawn,
-		Codec:           n.adapter.Backend,
-		Service:         n.declaredService,
+		AnswerBytes:       int64(n.settings.Limits.AnswerBytes),
+		AnswerHeaderBytes: int64(n.settings.Limits.AnswerHeaderBytes),
+		LargeAnswers:      n.settings.Limits.LargeAnswers,
+		Admission:         n.admission,
+		OnBackendChange:   func(a owner.Announcement) { n.members.Announce(a.Service, a.Slots, a.Cold) },
+		IsKeyWithdrawn:    n.isKeyWithdrawn,
+		Codec:             n.adapter.Backend,
+		Service:           n.declaredService,
 
 		RequestIDTokens: n.adapter.external(),
 		AnnouncementTTL: n.settings.AnnouncementTTL(),
--- a/internal/owner/announce.go
+++ b/internal/owner/announce.go
@@ -83,7 +83,7 @@
 		o.backend = &backend{announcement: a, startMs: startMs, transport: old.transport}
 		return true
 	}
-	o.backend = newBackend(a, startMs, o.config.IdleTimeout)
+	o.backend = newBackend(a, startMs, &o.config)
 	if old != nil {
 		old.transport.CloseIdleConnections()
 	}
--- a/internal/owner/backend.go
+++ b/internal/owner/backend.go
@@ -10,10 +10,9 @@
 	"net/http/httptrace"
 	"net/url"
 	"strings"
-	"syscall"
+	"sync/atomic"
 	"time"
 
-	"curranthold.example/curranthold/internal/call"
 	"curranthold.example/curranthold/internal/kernel"
 	"curranthold.example/curranthold/internal/retry"
 	"curranthold.example/curranthold/internal/socket"
@@ -25,6 +24,8 @@
 	connectTimeout = 500 * time.Millisecond
 	// connectionIdleTimeout is the default of Config.IdleTimeout.
 	connectionIdleTimeout = time.Minute
+	// maxAnswerHeaderBytes is the default of Config.AnswerHeaderBytes.
+	maxAnswerHeaderBytes = 8 << 10
 )
 
 // backend is the backend server on this host and the connections to it.
@@ -34,9 +35,12 @@
 	// It distinguishes instances with the same incarnation.
 	startMs   int64
 	transport *http.Transport
+	// echoes is set once a response has named the request that it answers. From
+	// then on a response that names none is not taken for an answer.
+	echoes atomic.Bool
 }
 
-func newBackend(a Announcement, startMs int64, idle time.Duration) *backend {
+func newBackend(a Announcement, startMs int64, config *Config) *backend {
 	return &backend{
 		announcement: a,
 		startMs:      startMs,
@@ -44,8 +48,10 @@
 			DialContext:         socket.Dialer(connectTimeout).DialContext,
 			MaxConnsPerHost:     a.Connections,
 			MaxIdleConnsPerHost: max(a.Slots, 1),
-			IdleConnTimeout:     cmp.Or(idle, connectionIdleTimeout),
+			IdleConnTimeout:     cmp.Or(config.IdleTimeout, connectionIdleTimeout),
 			DisableCompression:  true,
+			// Informational responses count as well, since no trace hook sees them.
+			MaxResponseHeaderBytes: cmp.Or(config.AnswerHeaderBytes, maxAnswerHeaderBytes),
 		},
 	}
 }
@@ -89,6 +95,8 @@
 // is NotRun only if the request is invalid, no connection was obtained, or the
 // response has the header Refused.
 func (o *Owner) roundTrip(ctx context.Context, b *backend, c *activeCall, token string) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
 	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { c.answer.Offered = true }}
 	request, err := o.newRequest(httptrace.WithClientTrace(ctx, trace), b, c, token)
 	if err != nil {
@@ -99,6 +107,10 @@
 		return roundTripError(ctx, err, c.answer.Offered)
 	}
 	defer func() { _ = response.Body.Close() }()
+	if err := o.judge(b, c.request, response); err != nil {
+		discard(response, err, cancel)
+		return err
+	}
 	return o.readAnswer(ctx, c, response)
 }
 
@@ -138,50 +150,3 @@
 	}
 	return url.Parse("http://" + address + target)
 }
-
-// roundTripError returns the error of a roundTrip that failed with err. If connected
-// is set, the call may have run.
-func roundTripError(ctx context.Context, err error, connected bool) error {
-	v := verdict.MayHaveRun
-	code := verdict.BackendBroken
-	if !connected {
-		v = verdict.NotRun
-		code = verdict.BackendUnreachable
-	}
-	switch {
-	case errors.Is(ctx.Err(), context.DeadlineExceeded):
-		code = verdict.DeadlineExceeded
-	case ctx.Err() != nil:
-		code = verdict.Cancelled
-	}
-	failure := verdict.New(v, code, "backend server: %v", err)
-	if errors.Is(err, syscall.ECONNREFUSED) {
-		return errors.Join(errConnectionRefused, failure)
-	}
-	return failure
-}
-
-// readAnswer reads the response into the call's answer. It returns an error if the
-// response refuses the call, belongs to another request, or is incomplete or too
-// large.
-func (o *Owner) readAnswer(ctx context.Context, c *activeCall, response *http.Response) error {
-	limit := o.config.AnswerBytes
-	if err := o.config.Codec.Judge(c.request, response); err != nil {
-		if verdict.Of(err) == verdict.NotRun {
-			// The connection is reused only if the body is read to its end.
-			_, _ = io.Copy(io.Discard, io.LimitReader(response.Body, limit))
-		}
-		return err
-	}
-	body, err := io.ReadAll(io.LimitReader(response.Body, limit+1))
-	if err != nil {
-		return roundTripError(ctx, err, true)
-	}
-	if int64(len(body)) > limit {
-		return verdict.New(verdict.Ran, verdict.AnswerTooLarge, "the answer exceeds %d bytes", limit)
-	}
-	c.answer.Status = response.StatusCode
-	c.answer.Header = call.EndToEnd(response.Header)
-	c.answer.Body = body
-	return nil
-}
--- a/internal/owner/codec.go
+++ b/internal/owner/codec.go
@@ -22,17 +22,60 @@
 	Incarnation string
 }
 
+// Echo says which request a response names.
+type Echo int
+
+const (
+	// EchoNotAsked means that the request had no identifier to name.
+	EchoNotAsked Echo = iota
+	// EchoMissing means that the response names no request.
+	EchoMissing
+	// EchoSame means that the response names the request to which it came.
+	EchoSame
+	// EchoOther means that the response names another request.
+	EchoOther
+)
+
+// CompareEcho returns the Echo of a response that names the request named, for a
+// request that was sent as asked. Empty means none.
+func CompareEcho(asked, named string) Echo {
+	switch {
+	case asked == "":
+		return EchoNotAsked
+	case named == "":
+		return EchoMissing
+	case named == asked:
+		return EchoSame
+	default:
+		return EchoOther
+	}
+}
+
 // Codec writes and reads the HTTP headers that the owner and a backend server
 // exchange.
 type Codec interface {
 	// WriteRequest adds the values of o to the header of a request.
 	WriteRequest(h http.Header, o Outgoing)
-	// Judge checks the status and header of a response. It returns nil if the
-	// response is the result of the request. Otherwise it returns an error whose
-	// verdict follows from the response.
+	// Echo says which request a response names.
+	Echo(r *call.Request, response *http.Response) Echo
+	// Judge checks the status and header of a response to the request. It returns
+	// nil if the response is the request's result. Otherwise it returns an error
+	// whose verdict follows from the response.
 	Judge(r *call.Request, response *http.Response) error
 }
 
+// Judge returns nil if the response is the result of the request, and otherwise an
+// error with a verdict. With echoes set, the backend server has named the request in
+// an earlier response and is expected to do so in all, so that a response without the
+// name is a late copy of another request's.
+func Judge(codec Codec, r *call.Request, response *http.Response, echoes bool) error {
+	echo := codec.Echo(r, response)
+	if echo == EchoOther || (echo == EchoMissing && echoes) {
+		return verdict.New(verdict.MayHaveRun, verdict.AnswerMismatch, "the backend server answered another request")
+	}
+	return codec.Judge(r, response)
+}
+
 // defaultCodec uses the headers of package header.
 type defaultCodec struct{}
 
@@ -50,18 +93,15 @@
 	}
 }
 
+// Echo implements Codec.
+func (defaultCodec) Echo(r *call.Request, response *http.Response) Echo {
+	return CompareEcho(r.RequestID, response.Header.Get(header.RequestID))
+}
+
 // Judge implements Codec.
-func (defaultCodec) Judge(r *call.Request, response *http.Response) error {
-	if id := response.Header.Get(header.RequestID); id != "" && id != r.RequestID {
-		return MismatchError()
-	}
+func (defaultCodec) Judge(_ *call.Request, response *http.Response) error {
 	if refusal := response.Header.Get(header.Refused); refusal != "" {
 		return verdict.New(verdict.NotRun, verdict.BackendRefused, "the backend server refused: %s", refusal)
 	}
 	return nil
 }
-
-// MismatchError returns the error for a response that belongs to another request.
-func MismatchError() error {
-	return verdict.New(verdict.MayHaveRun, verdict.AnswerMismatch, "the backend server answered another request")
-}
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -3,6 +3,8 @@
 package owner
 
 import (
+	"bytes"
+	"cmp"
 	"context"
 	"errors"
 	"net/http"
@@ -29,7 +31,13 @@
 	Codec Codec
 	// AnswerBytes is the maximum size of the body of a backend server's response.
 	AnswerBytes int64
-	Admission   *admission.Controller
+	// AnswerHeaderBytes is the maximum size of the header of a response, with the
+	// informational responses before it; 0 means 8 KiB.
+	AnswerHeaderBytes int64
+	// LargeAnswers is how many bodies of responses above 64 KiB are read at once;
+	// more wait. 0 means 3.
+	LargeAnswers int
+	Admission    *admission.Controller
 	// OnBackendChange is called after each change of the backend server on this
 	// host. After a withdrawal its argument is the zero Announcement. It may be nil.
 	OnBackendChange func(Announcement)
@@ -66,6 +74,8 @@
 	handler      kernel.Handler[*activeCall]
 	callTokens   callTokens
 	waitingCalls waitingCalls
+	// largeAnswers holds a buffer for each large body that may be read now.
+	largeAnswers chan *bytes.Buffer
 
 	// announceMu serializes HandleHeartbeat, MarkDeparted and AnnounceProvisionally.
 	announceMu sync.Mutex
@@ -89,6 +99,10 @@
 		config.Codec = defaultCodec{}
 	}
 	o := &Owner{config: config, running: make(map[string]context.CancelFunc)}
+	o.largeAnswers = make(chan *bytes.Buffer, cmp.Or(config.LargeAnswers, defaultLargeAnswers))
+	for range cap(o.largeAnswers) {
+		o.largeAnswers <- new(bytes.Buffer)
+	}
 	handler, err := stages.Build(o, stageOrder...)
 	if err != nil {
 		return nil, err
--- a/internal/owner/owner_test.go
+++ b/internal/owner/owner_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"context"
 	"io"
 	"net"
@@ -25,7 +26,7 @@
 func newOwner(t *testing.T, address string, config owner.Config) *owner.Owner {
 	controller := admission.New(admission.Config{})
 	t.Cleanup(controller.Close)
-	config.AnswerBytes = 1024
+	config.AnswerBytes = cmp.Or(config.AnswerBytes, 1024)
 	config.Admission = controller
 	o, err := owner.New(config)
 	qt.Assert(t, err, qt.IsNil)
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -77,6 +77,10 @@
 	// RequestBytes and AnswerBytes limit the body of a request and of a response.
 	RequestBytes int `json:"request-bytes"`
 	AnswerBytes  int `json:"answer-bytes"`
+	// AnswerHeaderBytes limits the header of a response, and LargeAnswers how many
+	// bodies of responses above 64 KiB are read at once.
+	AnswerHeaderBytes int `json:"answer-header-bytes"`
+	LargeAnswers      int `json:"large-answers"`
 	// CallsInFlight and BytesInFlight bound the number of concurrent calls from
 	// callers, and the total size of their bodies.
 	CallsInFlight int `json:"calls-in-flight"`
@@ -168,16 +172,18 @@
 	return Settings{
 		Platform: Platform{TimeoutMs: 1000},
 		Limits: Limits{
-			RequestBytes:     1 << 20,
-			AnswerBytes:      1 << 20,
-			CallsInFlight:    10_000,
-			BytesInFlight:    32 << 20,
-			DefaultTimeoutMs: 2000,
-			ExtraAttempts:    3,
-			ShutdownMs:       10_000,
-			LeaveNoticeMs:    1000,
-			AnnouncementMs:   4000,
-			IdleMs:           60_000,
+			RequestBytes:      1 << 20,
+			AnswerBytes:       1 << 20,
+			AnswerHeaderBytes: 8 << 10,
+			LargeAnswers:      3,
+			CallsInFlight:     10_000,
+			BytesInFlight:     32 << 20,
+			DefaultTimeoutMs:  2000,
+			ExtraAttempts:     3,
+			ShutdownMs:        10_000,
+			LeaveNoticeMs:     1000,
+			AnnouncementMs:    4000,
+			IdleMs:            60_000,
 		},
 	}
 }
@@ -247,6 +253,7 @@
 const (
 	secretBytes     = 32
 	maxMessageBytes = 4 << 20
+	minHeaderBytes  = 1 << 10
 	maxTimeoutMs    = 600_000
 
 	maxCallsInFlight = 1_000_000
@@ -285,6 +292,8 @@
 	checkRange(report, "platform.timeout-ms", s.Platform.TimeoutMs, 1, maxTimeoutMs)
 	checkRange(report, "limits.request-bytes", s.Limits.RequestBytes, 1, maxMessageBytes)
 	checkRange(report, "limits.answer-bytes", s.Limits.AnswerBytes, 1, maxMessageBytes)
+	checkRange(report, "limits.answer-header-bytes", s.Limits.AnswerHeaderBytes, minHeaderBytes, maxMessageBytes)
+	checkRange(report, "limits.large-answers", s.Limits.LargeAnswers, 1, maxCallsInFlight)
 	checkRange(report, "limits.calls-in-flight", s.Limits.CallsInFlight, 1, maxCallsInFlight)
 	checkRange(report, "limits.bytes-in-flight", s.Limits.BytesInFlight, s.Limits.RequestBytes, maxBytesInFlight)
 	checkRange(report, "limits.default-timeout-ms", s.Limits.DefaultTimeoutMs, 1, maxTimeoutMs)
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -26,15 +26,15 @@
 	qt.Assert(t, err, qt.IsNil)
 	tests := map[string]struct{ old, new, want string }{
 		"unknown field":     {`"host":`, `"hots":`, `node.json:5: hots: unknown field`},
-		"wrong type":        {`"extra-attempts": 3`, `"extra-attempts": "3"`, `node.json:60: limits.extra-attempts: must be a whole number`},
-		"fraction":          {`"extra-attempts": 3`, `"extra-attempts": 2.5`, `node.json:60: limits.extra-attempts: must be a whole number`},
-		"out of range":      {`"extra-attempts": 3`, `"extra-attempts": -1`, `node.json:60: limits.extra-attempts: must be between 0 and 100`},
+		"wrong type":        {`"extra-attempts": 3`, `"extra-attempts": "3"`, `node.json:64: limits.extra-attempts: must be a whole number`},
+		"fraction":          {`"extra-attempts": 3`, `"extra-attempts": 2.5`, `node.json:64: limits.extra-attempts: must be a whole number`},
+		"out of range":      {`"extra-attempts": 3`, `"extra-attempts": -1`, `node.json:64: limits.extra-attempts: must be between 0 and 100`},
 		"no IP address":     {`"127.0.0.1:7002"`, `"localhost:7002"`, `node.json:16: peer-address: must be an IP address with a port, as in 10.0.0.7:7000`},
 		"missing host":      {`"host": "glocke-a1",`, ``, `node.json:0: host: is required`},
 		"duplicate field":   {`"host": "glocke-a1",`, `"host": "a", "host": "b",`, `node.json:5: host: stands twice`},
 		"short secret":      {`"fleet-secret": "65`, `"fleet-secret": "`, `fleet-secret: must be 32 bytes in hexadecimal`},
 		"not JSON":          {`"host"`, `host`, `node.json:1: `},
-		"unknown mechanism": {`"extra-attempts": 3`, `"disabled-mechanisms": ["cold-ramp", "early-refusal", "coldness"]`, `node.json:60: limits.disabled-mechanisms[2]: names no mechanism`},
+		"unknown mechanism": {`"extra-attempts": 3`, `"disabled-mechanisms": ["cold-ramp", "early-refusal", "coldness"]`, `node.json:64: limits.disabled-mechanisms[2]: names no mechanism`},
 		"object as string":  {`"seeds": [`, `"seeds": [{},`, `seeds[0]: must be a single value`},
 	}
 	for name, test := range tests {
--- a/internal/standin/backend.go
+++ b/internal/standin/backend.go
@@ -158,7 +158,7 @@
 func (b *Backend) serve(w http.ResponseWriter, r *http.Request) {
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxRequestBytes))
 	if err != nil {
-		b.refuse(w, "bad-request")
+		b.refuse(w, r, "bad-request")
 		return
 	}
 	if place := findKey(r, body); place != "" {
@@ -169,12 +169,12 @@
 	}
 	ctx, cancel, err := withDeadline(r)
 	if err != nil {
-		b.refuse(w, "bad-request")
+		b.refuse(w, r, "bad-request")
 		return
 	}
 	defer cancel()
 	if ctx.Err() != nil {
-		b.refuse(w, "deadline-exceeded")
+		b.refuse(w, r, "deadline-exceeded")
 		return
 	}
 	b.admit(ctx, w, r)
@@ -218,7 +218,7 @@
 func (b *Backend) admit(ctx context.Context, w http.ResponseWriter, r *http.Request) {
 	faults := b.faults.get()
 	if b.randomSource.chance(faults.Refuse) {
-		b.refuse(w, "overloaded")
+		b.refuse(w, r, "overloaded")
 		return
 	}
 	reset := b.randomSource.chance(faults.ResetConnections)
@@ -232,7 +232,7 @@
 	}
 	switch b.limiter.admit(time.Now()) {
 	case overloaded:
-		b.refuse(w, "overloaded")
+		b.refuse(w, r, "overloaded")
 	case crashing:
 		b.crash()
 		b.awaitRecovery(ctx)
@@ -243,9 +243,10 @@
 }
 
 // refuse responds that the request is refused and was not run.
-func (b *Backend) refuse(w http.ResponseWriter, reason string) {
+func (b *Backend) refuse(w http.ResponseWriter, r *http.Request, reason string) {
 	b.refused.Add(1)
 	w.Header().Set(header.Refused, reason)
+	w.Header().Set(header.RequestID, r.Header.Get(header.RequestID))
 	w.WriteHeader(http.StatusServiceUnavailable)
 }
 
