--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -21,6 +21,8 @@
 	// maxTableBytes limits the body of a request to the table service, and of each
 	// response that holds no object.
 	maxTableBytes = 8 << 20
+	// maxHeaderBytes limits the header of a response.
+	maxHeaderBytes = 16 << 10
 	// maxObjectBytes limits the size of an object.
 	maxObjectBytes = 32 << 20
 )
@@ -81,6 +83,8 @@
 		MaxIdleConnsPerHost: maxConns,
 		IdleConnTimeout:     idleTimeout,
 		DisableCompression:  true,
+
+		MaxResponseHeaderBytes: maxHeaderBytes,
 	}
 }
 
