Send each change of a member to other zones a bounded number of times

Cause: bytes between zones grew with the square of the hosts. Each node sent each change of each member 3 log2(n) times to members of any zone, so that n changes crossed zones n x 27 times; a joining node exchanged its roster with 8 hosts of any zone, and at 300 hosts changes queued for 20 s, since messages hold 64. Found by a model of whole lists that counts what crosses zones. Ruled out: probes, the comparison of digests, and reports of the tally; they grow with the hosts. Rosters are exchanged within the zone; 16 hosts of a zone do so with others.

--- a/internal/membership/directory.go
+++ b/internal/membership/directory.go
@@ -17,8 +17,10 @@
 	directoryPrefix = "directory/"
 	// directoryPageSize is the number of rows per read.
 	directoryPageSize = 500
-	// directorySampleSize is how many hosts of the directory a node contacts.
-	directorySampleSize = 8
+	// directoryZoneSample is how many hosts of its own zone in the directory a node
+	// contacts, and directoryCrossZoneSample how many of others.
+	directoryZoneSample      = 6
+	directoryCrossZoneSample = 2
 	// directoryRetryInterval is the time between two attempts to write this
 	// host's row.
 	directoryRetryInterval = 2 * time.Second
@@ -40,7 +42,7 @@
 // start at the same time at least one finds the other.
 func (l *List) join(ctx context.Context) {
 	if !l.syncWithSeeds(ctx) {
-		l.syncWithDirectory(ctx)
+		l.syncWithDirectory(ctx, false)
 	}
 	if l.config.Table == nil {
 		return
@@ -101,7 +103,7 @@
 // discover synchronizes with the seeds and with a few hosts of the directory.
 func (l *List) discover(ctx context.Context) {
 	l.syncWithSeeds(ctx)
-	l.syncWithDirectory(ctx)
+	l.syncWithDirectory(ctx, true)
 }
 
 // syncWithSeeds reports whether a seed other than this node answered.
@@ -109,13 +111,27 @@
 	return l.syncWithAll(ctx, l.config.Seeds)
 }
 
-func (l *List) syncWithDirectory(ctx context.Context) {
+// syncWithDirectory synchronizes with a few hosts of the directory: of this node's zone
+// and, if none of these answers or crossZone is set, of other zones. Of a large zone,
+// only some nodes do the latter.
+func (l *List) syncWithDirectory(ctx context.Context, crossZone bool) {
 	listed, err := l.listDirectory(ctx)
 	if err != nil {
 		eventDirectory.Log(event.Fields{"operation": "list", "error": err.Error()})
 	}
 	rand.Shuffle(len(listed), func(i, j int) { listed[i], listed[j] = listed[j], listed[i] })
-	l.syncWithAll(ctx, listed[:min(len(listed), directorySampleSize)])
+	var mates, others []string
+	for _, row := range listed {
+		if row.Zone == l.config.Zone {
+			mates = append(mates, row.Address)
+		} else {
+			others = append(others, row.Address)
+		}
+	}
+	answered := l.syncWithAll(ctx, mates[:min(len(mates), directoryZoneSample)])
+	if !answered || (crossZone && l.speaksForZone(len(mates))) {
+		l.syncWithAll(ctx, others[:min(len(others), directoryCrossZoneSample)])
+	}
 }
 
 // syncWithAll synchronizes with each of the addresses, except for that of this
@@ -130,27 +146,27 @@
 	return answered
 }
 
-// listDirectory returns the peer addresses of all hosts in the directory. If a read
-// fails, it returns the error and the addresses that it read before.
-func (l *List) listDirectory(ctx context.Context) ([]string, error) {
+// listDirectory returns the rows of all hosts in the directory. If a read fails, it
+// returns the error and the rows that it read before.
+func (l *List) listDirectory(ctx context.Context) ([]directoryRow, error) {
 	if l.config.Table == nil {
 		return nil, nil
 	}
-	var addresses []string
+	var listed []directoryRow
 	after := ""
 	for {
 		rows, err := l.config.Table.List(ctx, directoryPrefix, after, directoryPageSize)
 		if err != nil {
-			return addresses, err
+			return listed, err
 		}
 		for _, row := range rows {
-			var listed directoryRow
-			if json.Unmarshal(row.Value, &listed) == nil {
-				addresses = append(addresses, listed.Address)
+			var host directoryRow
+			if json.Unmarshal(row.Value, &host) == nil {
+				listed = append(listed, host)
 			}
 		}
 		if len(rows) < directoryPageSize {
-			return addresses, nil
+			return listed, nil
 		}
 		after = rows[len(rows)-1].Key
 	}
--- a/internal/membership/list.go
+++ b/internal/membership/list.go
@@ -270,13 +270,19 @@
 
 // sample returns up to n random live members other than this node.
 func (l *List) sample(n int) []Member {
+	return l.sampleOf(n, func(Member) bool { return true })
+}
+
+// sampleOf returns up to n random live members other than this node for which eligible
+// returns true.
+func (l *List) sampleOf(n int, eligible func(Member) bool) []Member {
 	members := l.Members()
 	var out []Member
 	for _, i := range rand.Perm(len(members)) {
 		if len(out) == n {
 			break
 		}
-		if members[i].ID != l.config.ID {
+		if members[i].ID != l.config.ID && eligible(members[i]) {
 			out = append(out, members[i])
 		}
 	}
--- a/internal/membership/message.go
+++ b/internal/membership/message.go
@@ -41,7 +41,7 @@
 func (r *RPC) Ping(args *Ping, reply *Pong) error {
 	return r.list.do(func() {
 		r.list.mergeAll(args.Updates)
-		reply.Updates = r.list.roster.takeUpdates()
+		reply.Updates = r.list.roster.takeUpdatesFor(args.From)
 	})
 }
 
--- a/internal/membership/probe.go
+++ b/internal/membership/probe.go
@@ -3,20 +3,42 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/sourcegraph/conc"
 )
 
+// zoneSpeakers is the mean number of nodes of a zone that exchange their rosters with
+// other zones at a time.
+const zoneSpeakers = 16
+
 // probeNext probes the next member of the current round. In a round, each live
-// member is probed once, in random order.
+// member is probed once, in random order. If that member is in another zone, changes
+// that the own zone is still to learn are sent there separately.
 func (l *List) probeNext(ctx context.Context) {
 	target, ok := l.nextTarget()
 	if !ok {
 		return
 	}
-	updates := l.roster.takeUpdates()
+	updates := l.roster.takeUpdatesFor(target.ID)
 	l.wg.Go(func() { l.probe(ctx, target, updates) })
+	if target.Zone != l.config.Zone {
+		l.tellZone(ctx)
+	}
+}
+
+// tellZone sends changes to a random member of the own zone, if there are any.
+func (l *List) tellZone(ctx context.Context) {
+	mates := l.sampleOf(1, func(m Member) bool { return m.Zone == l.config.Zone })
+	if len(mates) == 0 {
+		return
+	}
+	updates := l.roster.takeZoneUpdates()
+	if len(updates) == 0 {
+		return
+	}
+	l.wg.Go(func() { _ = l.pingWith(ctx, mates[0].Address, updates) }) // A probe will notice if it is gone.
 }
 
 func (l *List) nextTarget() (Member, bool) {
@@ -101,24 +123,32 @@
 	return nil
 }
 
-// ping sends a ping with the changes that the roster is to send next.
+// ping sends a ping with the changes that the roster is to send next, and with the
+// record of this node.
 func (l *List) ping(ctx context.Context, address string) error {
 	var updates []Member
-	if err := l.do(func() { updates = l.roster.takeUpdates() }); err != nil {
+	err := l.do(func() {
+		updates = append(l.roster.takeUpdatesFor(l.roster.idOf(address)), l.roster.members[l.config.ID])
+	})
+	if err != nil {
 		return err
 	}
 	return l.pingWith(ctx, address, updates)
 }
 
-// syncWithRandomMember synchronizes with a random live member.
+// syncWithRandomMember synchronizes with a random live member: of this node's zone, or
+// of any zone if this node speaks for its zone.
 func (l *List) syncWithRandomMember(ctx context.Context) {
-	for _, m := range l.sample(1) {
+	anyZone := l.speaksForZone(l.roster.zoneMates)
+	members := l.sampleOf(1, func(m Member) bool { return anyZone || m.Zone == l.config.Zone })
+	for _, m := range members {
 		l.wg.Go(func() { _ = l.syncWith(ctx, m.Address) })
 	}
 }
 
 // syncWith synchronizes rosters with the node at the address: both merge the
-// members of the buckets in which they differ.
+// members of the buckets in which they differ. A node of another zone gets only members
+// of this node's zone, since it learns of the others more cheaply from its own.
 func (l *List) syncWith(ctx context.Context, address string) error {
 	var digest Digest
 	if err := l.do(func() { digest.Buckets = l.roster.digests }); err != nil {
@@ -134,6 +164,9 @@
 	err := l.do(func() {
 		toSend = l.roster.differingMembers(difference.Buckets)
 		l.mergeAll(difference.Members)
+		if id := l.roster.idOf(address); id != "" && !l.roster.isInZone(id) {
+			toSend = slices.DeleteFunc(toSend, func(m Member) bool { return m.Zone != l.config.Zone })
+		}
 	})
 	if err != nil || len(toSend) == 0 {
 		return err
@@ -142,12 +175,14 @@
 }
 
 // reconnect synchronizes with a random dead member, so that the two sides of a
-// partition find each other once it has healed. If this node knows no other live
-// node, it also tries the seeds and the directory.
+// partition find each other once it has healed. Of a large zone, only some nodes do so
+// with members of other zones each time. If this node knows no other live node, it also
+// tries the seeds and the directory.
 func (l *List) reconnect(ctx context.Context) {
 	var dead []string
+	crossZone := l.speaksForZone(l.roster.zoneMates)
 	for _, m := range l.roster.members {
-		if !m.Live() {
+		if !m.Live() && (crossZone || m.Zone == l.config.Zone) {
 			dead = append(dead, m.Address)
 		}
 	}
@@ -159,3 +194,9 @@
 		l.wg.Go(func() { l.discover(ctx) })
 	}
 }
+
+// speaksForZone reports whether this node exchanges its roster with another zone now,
+// as zoneSpeakers nodes of a zone with the given number of hosts do on average.
+func (l *List) speaksForZone(hosts int) bool {
+	return rand.IntN(max(hosts, 1)) < zoneSpeakers
+}
--- a/internal/membership/slope_test.go
+++ b/internal/membership/slope_test.go
@@ -33,7 +33,7 @@
 		l.roster.merge(testMember(i), time.Time{})
 	}
 	l.publish()
-	clear(l.roster.retransmits)
+	clear(l.roster.unsent)
 	return l
 }
 
@@ -71,7 +71,7 @@
 				changed.Version++
 				l.roster.merge(changed, time.Time{})
 				l.publish()
-				l.roster.takeUpdates()
+				l.roster.takeZoneUpdates()
 			}
 			b.ReportMetric(float64(listBytes), "heap-B")
 			runtime.KeepAlive(l)
@@ -89,7 +89,7 @@
 			for b.Loop() {
 				_, found := l.nextTarget()
 				qt.Assert(b, found, qt.IsTrue)
-				l.roster.takeUpdates()
+				l.roster.takeZoneUpdates()
 				l.expireSuspects(time.Time{})
 			}
 		})
