--- a/cmd/currantholdd/sidecar.go
+++ b/cmd/currantholdd/sidecar.go
@@ -48,7 +48,9 @@
 		fmt.Fprintln(os.Stderr, err)
 		return subcommands.ExitUsageError
 	}
-	debug.SetMemoryLimit(int64(s.Limits.MemoryBytes))
+	if s.Limits.MemoryBytes > 0 {
+		debug.SetMemoryLimit(int64(s.Limits.MemoryBytes))
+	}
 	n, err := node.NewWithAdapter(s, platform.New(s))
 	return runNode(ctx, n, err, s.CallerAddress, load)
 }
--- a/internal/admission/pace_test.go
+++ b/internal/admission/pace_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -45,6 +46,7 @@
 					request.Urgency = object.Urgent
 				}
 				started := make(chan time.Time, 10_000)
+				var calls sync.WaitGroup
 				call := func() {
 					permit, err := c.Acquire(context.Background(), request)
 					if err != nil {
@@ -63,10 +65,10 @@
 					case 1750:
 						announce(1500 * time.Millisecond)
 					}
-					go call()
+					calls.Go(call)
 					time.Sleep(2 * time.Millisecond)
 				}
-				time.Sleep(time.Second)
+				calls.Wait()
 				close(started)
 				var paced []time.Time
 				after := 0
--- a/internal/configuration/commit_test.go
+++ b/internal/configuration/commit_test.go
@@ -154,6 +154,7 @@
 	}{
 		"route to an undeclared service":   {put("1", route("x", "", "/x", "none")), object.Contradiction},
 		"same method and prefix":           {put("1", route("x", "GET", "/rota", "rota")), object.Contradiction},
+		"other host, same prefix":          {put("1", Draft{ID: object.ID{Kind: object.KindRoute, Name: "x"}, Spec: object.RouteSpec{Host: "h.example", Method: "GET", PathPrefix: "/rota", Service: "rota"}}), ""},
 		"other method, same prefix":        {put("1", route("x", "POST", "/rota", "rota")), ""},
 		"service with routes deleted":      {put("1", Draft{ID: service.ID, AnyVersion: true}), object.Contradiction},
 		"account with keys deleted":        {put("1", Draft{ID: account("account-k", 1).ID, AnyVersion: true}), object.Contradiction},
--- a/internal/configuration/contradiction.go
+++ b/internal/configuration/contradiction.go
@@ -7,7 +7,8 @@
 )
 
 // contradictions returns the objects with a reference to an undeclared object, and
-// the routes with the same method and prefix as another route, in the order of ids.
+// the routes with the same host, method and prefix as another route, in the order of
+// ids.
 func contradictions(objects map[object.ID]object.Object, ids []object.ID) object.ItemErrors {
 	var found object.ItemErrors
 	routeNames := map[routeKey]string{}
@@ -18,7 +19,7 @@
 			err = requireDeclared(objects, object.KindClientAccount, spec.ClientAccount, "spec.client-account")
 		case object.RouteSpec:
 			err = requireDeclared(objects, object.KindService, spec.Service, "spec.service")
-			key := routeKey{method: spec.Method, prefix: spec.PathPrefix}
+			key := routeKey{host: spec.Host, method: spec.Method, prefix: spec.PathPrefix}
 			if other, duplicate := routeNames[key]; duplicate {
 				err = duplicateRouteError(spec, other)
 			}
@@ -31,7 +32,7 @@
 	return found
 }
 
-type routeKey struct{ method, prefix string }
+type routeKey struct{ host, method, prefix string }
 
 // requireDeclared returns an error for the field if the named object is missing.
 func requireDeclared(objects map[object.ID]object.Object, kind object.Kind, name, field string) object.FieldError {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -73,6 +73,8 @@
 	// membership's callback uses it.
 	leaving map[string]bool
 	pending pendingHeartbeat
+	// retrySlack is settings.Limits.RetrySlack as last loaded.
+	retrySlack atomic.Int64
 	// accepting is set while the node accepts new calls.
 	accepting atomic.Bool
 
@@ -101,6 +103,7 @@
 // NewWithAdapter is like New, but takes the node's interfaces from the adapter.
 func NewWithAdapter(s settings.Settings, adapter Adapter) (*Node, error) {
 	n := &Node{settings: s, adapter: adapter, table: adapter.Table, leaving: make(map[string]bool)}
+	n.retrySlack.Store(int64(s.Limits.RetrySlack))
 	n.platform = platform.New(platform.Config{
 		TableAddress: s.Platform.TableAddress,
 		StoreAddress: s.Platform.ObjectStoreAddress,
--- a/internal/node/subscribe.go
+++ b/internal/node/subscribe.go
@@ -51,7 +51,7 @@
 	n.trackLeaving(members, present)
 	if n.adapter.external() {
 		n.tally.SetHosts(quotaHosts, n.leaving)
-		n.entry.SetRetryBurst(n.retryBurst(n.settings.Limits.RetrySlack, len(members)))
+		n.applyRetryBurst(len(members))
 		return
 	}
 	n.quota.SetHosts(quotaHosts)
--- a/internal/quota/replica.go
+++ b/internal/quota/replica.go
@@ -54,7 +54,6 @@
 
 	nextPoll time.Time
 	leaving  bool
-	left     bool
 }
 
 // withdrawal records the acknowledgements of the row version that lowered a
@@ -119,7 +118,7 @@
 
 // tick returns the calls that are due.
 func (r *rosterReplica) tick(now time.Time) []*call {
-	if now.Before(r.nextPoll) || r.left {
+	if now.Before(r.nextPoll) {
 		return nil
 	}
 	r.nextPoll = now.Add(r.timing.PollInterval)
--- a/internal/retry/bucket.go
+++ b/internal/retry/bucket.go
@@ -7,6 +7,9 @@
 	"curranthold.example/curranthold/internal/metric"
 )
 
+// DefaultBurst is the maximum and default burst of a bucket, in retries.
+const DefaultBurst = 10
+
 // The bucket counts in thousandths of a retry.
 const (
 	milliRetry = 1000
@@ -14,7 +17,7 @@
 	milliPerFirstAttempt = 80
 	// milliCapacity is the maximum and default burst of a bucket, which is its
 	// capacity. A bucket starts full.
-	milliCapacity = 10 * milliRetry
+	milliCapacity = DefaultBurst * milliRetry
 	// milliMaxDebt is how far CountNestedInRetry can overdraw a bucket.
 	milliMaxDebt = 100 * milliRetry
 )
--- a/internal/retry/buckets.go
+++ b/internal/retry/buckets.go
@@ -10,8 +10,11 @@
 type Buckets struct {
 	byService sync.Map // service name -> *Bucket
 
-	mu           sync.Mutex
-	share, burst float64
+	mu    sync.Mutex
+	share float64
+	// burst is what SetBurst set, if burstSet is set.
+	burst    float64
+	burstSet bool
 }
 
 // Bucket returns the bucket of a service. The name must be one that operators have
@@ -37,12 +40,11 @@
 	b.applyAll()
 }
 
-// SetBurst sets the burst of each bucket; see [Bucket.SetBurst]. 0 leaves the
-// buckets as they are, and new ones with the default burst of 10.
+// SetBurst sets the burst of each bucket; see [Bucket.SetBurst].
 func (b *Buckets) SetBurst(retries float64) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.burst = retries
+	b.burst, b.burstSet = retries, true
 	b.applyAll()
 }
 
@@ -55,7 +57,7 @@
 
 func (b *Buckets) apply(bucket *Bucket) {
 	bucket.SetShare(b.share)
-	if b.burst > 0 {
+	if b.burstSet {
 		bucket.SetBurst(b.burst)
 	}
 }
--- a/internal/retry/retry_test.go
+++ b/internal/retry/retry_test.go
@@ -195,6 +195,22 @@
 	// 1
 }
 
+// TestNoBurst sets a burst of 0. Buckets then allow a retry only after first attempts
+// have earned it, those that existed before included.
+func TestNoBurst(t *testing.T) {
+	var buckets retry.Buckets
+	old := buckets.Bucket("old")
+	buckets.SetBurst(0)
+	for _, bucket := range []*retry.Bucket{old, buckets.Bucket("new")} {
+		qt.Check(t, bucket.Take(), qt.IsFalse)
+		for range 20 {
+			bucket.CountFirst()
+		}
+		qt.Check(t, bucket.Take(), qt.IsTrue)
+		qt.Check(t, bucket.Take(), qt.IsFalse)
+	}
+}
+
 // BenchmarkBuckets looks up the bucket of one of many services.
 func BenchmarkBuckets(b *testing.B) {
 	var buckets retry.Buckets
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -99,7 +99,8 @@
 	// RetrySlack is how many retries all nodes together may make to each service
 	// before first attempts have earned any. The nodes share half of it; the rest is
 	// reserved for the nested calls of retried calls. A node without an adapter
-	// applies it only when its settings are reloaded.
+	// applies it only when its settings are reloaded, and takes 0 for a burst of 10
+	// of its own.
 	RetrySlack int `json:"retry-slack"`
 	// QuotaOveragePercent is the percentage by which the users' platform tolerates
 	// that a client account exceeds its rate and burst. A node with an adapter raises
@@ -117,7 +118,7 @@
 	// unless it is repeated.
 	AnnouncementMs int `json:"announcement-ms"`
 	// MemoryBytes is the memory limit of the Go runtime, which only the sidecar
-	// command sets. 0 is a limit of 0 bytes there.
+	// command sets; 0 means none.
 	MemoryBytes int `json:"memory-bytes"`
 	// IdleMs is how long an idle connection to the backend server is kept open.
 	IdleMs int `json:"idle-ms"`
--- a/pkg/object/validate.go
+++ b/pkg/object/validate.go
@@ -154,7 +154,7 @@
 }
 
 // Redacted returns the object as it is shown to operators: a key comes without
-// its salt and its hash.
+// its salt, its hash and its digest.
 func (o Object) Redacted() Object {
 	spec, ok := o.Spec.(KeySpec)
 	if !ok {
@@ -162,6 +162,7 @@
 	}
 	spec.Salt = ""
 	spec.Hash = ""
+	spec.Digest = ""
 	o.Spec = spec
 	return o
 }
