Report an account at once where a host's estimate is old

Cause: of TestSurgeManyHosts. 300 hosts that all know a full bucket spend one token or more each before the next check of reports, up to 150 ms later, so that the home learned of 300 tokens too late. Ruled out: the shares of a nearly empty bucket (they hold once the home knows). Change: a host whose last report of the account is older than a check reports as it spends, if the tokens are due. Conclusion: better, not mended: the overage is still the number of hosts, which only asking before spending would bound.

--- a/internal/tally/manager.go
+++ b/internal/tally/manager.go
@@ -139,6 +139,7 @@
 	}
 	if a.spend(m.config.Now(), m.evenFraction()) {
 		spentTokens.Add(1)
+		m.reportIfStale(a)
 		return nil
 	}
 	refusedExceeded.Add(1)
@@ -149,6 +150,28 @@
 	return refusal
 }
 
+// reportIfStale reports an account at once if the tokens that it has spent are due to be
+// reported and its last report is older than checkInterval. Among many hosts, each that
+// spends for the first time in a while spends from an estimate that may be outdated.
+func (m *Manager) reportIfStale(a *account) {
+	now := m.config.Now()
+	if m.closed || now.Sub(a.lastReport) < checkInterval || !a.reportDue(now, len(m.hosts)) {
+		return
+	}
+	home := m.home(partitionOf(a.name), now)
+	args := &ReportArgs{Host: m.config.Host, Incarnation: m.config.Incarnation}
+	m.addSpending(args, a, now)
+	m.calls.Go(func() { m.report(home, args) })
+}
+
+// addSpending adds an account to a report.
+func (m *Manager) addSpending(args *ReportArgs, a *account, now time.Time) {
+	a.lastReport = now
+	a.refusedSinceReport = false
+	a.advance(now, m.evenFraction())
+	args.Spendings = append(args.Spendings, Spending{Account: a.name, Total: a.total, Unreported: a.total - a.acknowledged, Level: a.level})
+}
+
 // evenFraction returns the fraction of a rate that each host gets if it is divided
 // evenly among live and missing hosts.
 func (m *Manager) evenFraction() float64 {
@@ -200,10 +223,7 @@
 			args = &ReportArgs{Host: m.config.Host, Incarnation: m.config.Incarnation}
 			reports[home] = args
 		}
-		a.lastReport = now
-		a.refusedSinceReport = false
-		a.advance(now, m.evenFraction())
-		args.Spendings = append(args.Spendings, Spending{Account: a.name, Total: a.total, Unreported: a.total - a.acknowledged, Level: a.level})
+		m.addSpending(args, a, now)
 	}
 	for home, args := range reports {
 		m.calls.Go(func() { m.report(home, args) })
