Call the store less for the configuration

A model of 95 hosts shows what they are for: each host read every 250 ms until operators had declared a configuration, eight hosts a zone watched, and each of them read the whole configuration after each change. While the store turned hosts away, each of these tried every 400 ms. Ruled out: the directory (4 calls a start). Change: four hosts of a zone watch, the first with a short wait; a watching host reads a change only if no earlier one of its zone has pushed it within 150 ms a position; at the start only the first hosts of a zone read each time; after a second failure a host waits 800 ms.

--- a/internal/configuration/fake_test.go
+++ b/internal/configuration/fake_test.go
@@ -253,6 +253,8 @@
 	network *fakeNetwork
 	hosts   []Host
 	running map[string]*Replica
+	// source returns the source of a host. If it is nil, there is none.
+	source func(Host) Source
 }
 
 func newFleet(t testing.TB, zones, hostsPerZone int) *fleet {
@@ -283,7 +285,11 @@
 // start runs a new replica on a host, after stopping any that runs there.
 func (f *fleet) start(h Host, subscribers ...func(*Snapshot)) *Replica {
 	f.stop(h)
-	r := New(Config{Host: h.ID, Zone: h.Zone, Table: &partitionableTable{fakeTable: f.table}, Store: f.store, Peers: fakeCaller{f.network, h}})
+	config := Config{Host: h.ID, Zone: h.Zone, Table: &partitionableTable{fakeTable: f.table}, Store: f.store, Peers: fakeCaller{f.network, h}}
+	if f.source != nil {
+		config.Source = f.source(h)
+	}
+	r := New(config)
 	for _, s := range subscribers {
 		r.Subscribe(s)
 	}
--- a/internal/configuration/replica.go
+++ b/internal/configuration/replica.go
@@ -53,6 +53,9 @@
 	// platform or another zone: 1 plus the nanoseconds since started, or 0 for
 	// never.
 	lastUpToDate atomic.Int64
+	// startSourceFailed is set if the last read of the source before the node was
+	// ready failed. Only runStartup uses it.
+	startSourceFailed bool
 	// upstreamReachable is set unless the last attempt to read the table or source
 	// failed.
 	upstreamReachable atomic.Bool
--- a/internal/configuration/source.go
+++ b/internal/configuration/source.go
@@ -17,14 +17,22 @@
 const (
 	// watchHosts is the number of hosts of a zone that watch the source. The
 	// first shortWatchHosts of them use shortWatch, the others longWatch.
-	shortWatchHosts = 2
-	watchHosts      = 8
+	shortWatchHosts = 1
+	watchHosts      = 4
 	// shortWatch and longWatch are how long one watch request waits for a change.
-	shortWatch = 2 * time.Second
-	longWatch  = 15 * time.Second
-	// sourceRetry is the mean time between attempts after the source failed. It is
-	// also how often a host that does not watch checks whether it should.
-	sourceRetry = 400 * time.Millisecond
+	shortWatch = 3 * time.Second
+	longWatch  = 10 * time.Second
+	// sourceRetry is the mean time before the second attempt after the source failed,
+	// and maxSourceRetry before later ones. sourceRetry is also how often a host that
+	// does not watch checks whether it should.
+	sourceRetry    = 400 * time.Millisecond
+	maxSourceRetry = 800 * time.Millisecond
+	// watcherDelay, times a host's position among those of its zone, is how long it
+	// waits for an earlier one to push a change before it reads the source itself.
+	watcherDelay = 150 * time.Millisecond
+	// startReadInterval is the number of attempts to become ready for one read of the
+	// source, at hosts other than the first of a zone, while the source is empty.
+	startReadInterval = 8
 	// sourceTimeout bounds a read of the source. A watch request is bounded by its
 	// wait plus sourceTimeout.
 	sourceTimeout = 800 * time.Millisecond
@@ -60,6 +68,7 @@
 func (r *Replica) followSource() {
 	asOf := uint64(0)
 	current := false
+	retry := sourceRetry
 	for r.ctx.Err() == nil {
 		wait := r.watchTimeout()
 		if wait == 0 {
@@ -73,10 +82,13 @@
 		if current {
 			asOf, current = r.watchSource(asOf, wait)
 		}
-		if !current {
-			r.queryOtherZones()
-			r.wait(jittered(sourceRetry))
+		if current {
+			retry = sourceRetry
+			continue
 		}
+		r.queryOtherZones()
+		r.wait(jittered(retry))
+		retry = min(2*retry, maxSourceRetry)
 	}
 }
 
@@ -109,9 +121,26 @@
 		r.recordUpToDate(watchStarted)
 		return max(asOf, next), true
 	}
+	if r.awaitPush(changed) {
+		r.recordUpToDate(watchStarted)
+		return max(changed, next), true
+	}
 	return r.readSource(changed)
 }
 
+// awaitPush waits until the generation is in force, because a host before this one in
+// the zone's list has read it from the source and pushed it. It reports whether that
+// happened before it is this host's turn to read.
+func (r *Replica) awaitPush(generation uint64) bool {
+	position := r.view.Load().zone(r.config.Zone).position(r.config.Host)
+	for range max(position, 0) {
+		if r.inForce.Load() >= generation || !r.wait(watcherDelay) {
+			break
+		}
+	}
+	return r.inForce.Load() >= generation
+}
+
 // readSource reads and applies the source's configuration, and sets its generation to
 // at least atLeast. It returns the version of the source that it read and whether the
 // source responded.
@@ -167,9 +196,16 @@
 }
 
 // readyFromSource reports whether the node has the configuration of the source or,
-// if the source is unreachable, of its ready peers.
-func (r *Replica) readyFromSource() bool {
-	if _, ok := r.readSource(0); ok {
+// if the source is unreachable, of its ready peers. While operators have declared none
+// yet, only the first hosts of a zone read the source each time; the others mostly wait
+// for a push.
+func (r *Replica) readyFromSource(attempt int) bool {
+	if !r.startSourceFailed && r.watchTimeout() != shortWatch && attempt%startReadInterval != 1 {
+		return r.inForce.Load() > 0
+	}
+	_, ok := r.readSource(0)
+	r.startSourceFailed = !ok
+	if ok {
 		return r.inForce.Load() > 0
 	}
 	return r.readyFromPeers(r.ctx)
--- a/internal/configuration/start.go
+++ b/internal/configuration/start.go
@@ -25,7 +25,7 @@
 // runStartup repeats attempts until the node is ready.
 func (r *Replica) runStartup() {
 	for attempt := 1; ; attempt++ {
-		if r.becomeReady(r.ctx) {
+		if r.becomeReady(r.ctx, attempt) {
 			r.isReady.Store(true)
 			eventReady.Log(event.Fields{"generation": r.Snapshot().generation})
 			close(r.ready)
@@ -44,9 +44,9 @@
 // that it can learn of. If the table responds, its head row is sufficient, since
 // the table has every accepted generation. Otherwise the node asks the ready hosts
 // among a sample of all zones.
-func (r *Replica) becomeReady(ctx context.Context) bool {
+func (r *Replica) becomeReady(ctx context.Context, attempt int) bool {
 	if r.config.Source != nil {
-		return r.readyFromSource()
+		return r.readyFromSource(attempt)
 	}
 	generation, err := r.readHead(ctx)
 	if err == nil {
