Ask the home of an account before refusing a request

A host refused by an estimate that was up to 8 s old: the rate at which others had spent, measured over one second, was carried on until the estimate was negative. Hosts were also given their share of a nearly empty bucket, which among 95 is no token at all, though the home had some. Ruled out: limits that had really been exceeded (the same accounts were allowed more later in the same second), reports that were late (answers were 10 to 400 ms old in most lines). Change: a host that would refuse asks the home for one token, waits for up to 100 ms, and asks again only after 150 ms if none was granted. The home takes what it grants from the bucket at once. Older builds ignore the new fields.

--- a/internal/tally/account.go
+++ b/internal/tally/account.go
@@ -30,6 +30,10 @@
 	lastReport, lastAnswer time.Time
 	// nextRetry is the latest retry time given to a refused request.
 	nextRetry time.Time
+	// asking is set while the home is asked for a token. nextAsk is the earliest time
+	// at which it may be asked again.
+	asking  bool
+	nextAsk time.Time
 	// refusedSinceReport is set if a request was refused since the last report.
 	refusedSinceReport bool
 	// spendRate measures how fast this host spends tokens.
@@ -157,6 +161,19 @@
 	a.updated = now
 }
 
+// applyGrant counts tokens that the home granted as spent and reported, and reports
+// whether there are any.
+func (a *account) applyGrant(now time.Time, granted uint64) bool {
+	if granted == 0 {
+		return false
+	}
+	a.total += granted
+	a.acknowledged += granted
+	a.spendRate.add(float64(granted), now)
+	a.refusedSinceReport = false
+	return true
+}
+
 // usableLevel returns how much of the level stated by the home this host may spend. If
 // the bucket is nearly empty, that is the host's weighted share, so that many hosts do
 // not spend the same tokens. Fractions are rounded up or down at random.
--- a/internal/tally/doc.go
+++ b/internal/tally/doc.go
@@ -3,7 +3,8 @@
 //
 // Each account has a home, one of the live hosts, which keeps the account's token
 // bucket. Every host spends from a local estimate of that bucket and corrects it
-// with each answer of the home, so that no request waits for a message. Tokens that
+// with each answer of the home, so that few requests wait for a message: only one that
+// the host would refuse by its estimate asks the home for a token first. Tokens that
 // are spent and not yet reported can exceed the limit for a short time; the capacity
 // of the bucket is reduced by a margin for that. Part of the rate is reserved for
 // hosts that cannot reach the home.
@@ -38,6 +39,11 @@
 	// homeAvoidTime is the shortest time for which another host replaces a home
 	// that did not answer.
 	homeAvoidTime = time.Second
+	// askTimeout bounds the time for which a request waits for the home's answer.
+	askTimeout = 100 * time.Millisecond
+	// askInterval is the shortest time before the home is asked for a token of an
+	// account again, after it granted none or did not answer.
+	askInterval = 150 * time.Millisecond
 	// isolationTimeout is how long a host relies on the last answer if no home answers.
 	// If it then has unreported tokens or refused a request, it takes its even share of
 	// the rate, or its recent spend rate if that is higher, up to half of the rate.
--- a/internal/tally/home.go
+++ b/internal/tally/home.go
@@ -75,8 +75,23 @@
 		b.spendRate.add(spent, now)
 		b.level -= spent
 	}
+	granted := b.grant(now, usage, s.Wanted)
 	others := max(b.spendRate.rate(now)-usage.spendRate.rate(now), 0)
-	return State{Level: b.level, Others: others, Refill: refill}
+	return State{Level: b.level, Others: others, Refill: refill, Granted: granted}
+}
+
+// grant takes up to the wanted number of tokens from the bucket for a host and returns
+// how many it took. If the host does not learn of them, they are lost.
+func (b *bucket) grant(now time.Time, usage *hostUsage, wanted uint64) uint64 {
+	granted := min(wanted, uint64(max(b.level, 0)))
+	if granted == 0 {
+		return 0
+	}
+	b.level -= float64(granted)
+	usage.total += granted
+	usage.spendRate.add(float64(granted), now)
+	b.spendRate.add(float64(granted), now)
+	return granted
 }
 
 // countHosts counts the hosts that report, and computes the rate that is reserved for
--- a/internal/tally/manager.go
+++ b/internal/tally/manager.go
@@ -127,9 +127,9 @@
 	}
 }
 
-// Spend takes a token from the named account. Any error is a *verdict.Error with
-// verdict not-run.
-func (m *Manager) Spend(_ context.Context, name string) error {
+// Spend takes a token from the named account. If the host's estimate says that there is
+// none, it asks the home for one. Any error is a *verdict.Error with verdict not-run.
+func (m *Manager) Spend(ctx context.Context, name string) error {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	a := m.accounts[name]
@@ -142,6 +142,10 @@
 		m.reportIfStale(a)
 		return nil
 	}
+	if m.ask(ctx, a) {
+		spentTokens.Add(1)
+		return nil
+	}
 	refusedExceeded.Add(1)
 	refusal := verdict.New(verdict.NotRun, verdict.QuotaExceeded,
 		"client account %q is above its rate and burst: %.1f tokens, filled with %.1f/s, others spend %.1f/s, answered %d ms ago",
@@ -150,6 +154,45 @@
 	return refusal
 }
 
+// ask asks the home of an account for one token and reports whether it granted it. It
+// returns false at once if another request is asking, or the home has just granted none.
+// It releases m.mu while it waits.
+func (m *Manager) ask(ctx context.Context, a *account) bool {
+	now := m.config.Now()
+	if m.closed || a.asking || now.Before(a.nextAsk) {
+		return false
+	}
+	a.asking = true
+	home := m.home(partitionOf(a.name), now)
+	args := &ReportArgs{Host: m.config.Host, Incarnation: m.config.Incarnation}
+	m.addSpending(args, a, now)
+	args.Spendings[0].Wanted = 1
+	asked := make(chan bool, 1)
+	m.calls.Go(func() { asked <- m.report(home, args) })
+	m.mu.Unlock()
+	granted := awaitGrant(ctx, asked)
+	m.mu.Lock()
+	a.asking = false
+	if !granted {
+		a.nextAsk = m.config.Now().Add(askInterval)
+	}
+	return granted
+}
+
+// awaitGrant waits for the home's answer, for up to askTimeout. A token that is granted
+// later is lost.
+func awaitGrant(ctx context.Context, asked <-chan bool) bool {
+	timer := time.NewTimer(askTimeout)
+	defer timer.Stop()
+	select {
+	case granted := <-asked:
+		return granted
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	return false
+}
+
 // reportIfStale reports an account at once if the tokens that it has spent are due to be
 // reported and its last report is older than checkInterval. Among many hosts, each that
 // spends for the first time in a while spends from an estimate that may be outdated.
@@ -263,14 +306,15 @@
 	return best
 }
 
-// report sends a report to a home and applies the answer.
-func (m *Manager) report(home quota.Host, args *ReportArgs) {
+// report sends a report to a home and applies the answer. It reports whether the home
+// granted a token.
+func (m *Manager) report(home quota.Host, args *ReportArgs) (granted bool) {
 	reply := new(ReportReply)
 	if home.ID == m.config.Host {
 		reply.States = m.applyReport(args)
 	} else if err := m.send(home, args, reply); err != nil {
 		m.avoidHome(home, err)
-		return
+		return false
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -278,8 +322,10 @@
 	for i, state := range reply.States[:min(len(reply.States), len(args.Spendings))] {
 		if a := m.accounts[args.Spendings[i].Account]; a != nil {
 			a.applyState(now, args.Spendings[i].Total, state, len(m.hosts))
+			granted = a.applyGrant(now, state.Granted) || granted
 		}
 	}
+	return granted
 }
 
 func (m *Manager) send(home quota.Host, args *ReportArgs, reply *ReportReply) error {
--- a/internal/tally/message.go
+++ b/internal/tally/message.go
@@ -13,6 +13,9 @@
 	// Level is the host's estimate of the tokens left. A home that has no bucket
 	// for the account yet starts from it.
 	Level float64
+	// Wanted is the number of tokens that the host asks for in addition, for
+	// requests that it would otherwise refuse.
+	Wanted uint64
 }
 
 // ReportArgs reports to a home what a host has spent.
@@ -31,6 +34,9 @@
 	Others float64
 	// Refill is the rate at which the bucket is refilled, in tokens a second.
 	Refill float64
+	// Granted is how many of the tokens wanted the home has taken from the bucket.
+	// They count as spent and reported.
+	Granted uint64
 }
 
 // ReportReply holds the state of each account in the report, in the same order.
