Copy the headers of a call once

Cause: of the 22 KB that a call allocates at all its parties, 15 % were copies of headers: at the entry, at the owner and of the response; and each request to a backend server had a context of its own only for refusals with a slow body. Ruled out: the copy at the entry, from whose header the call token is read later. Change: the owner keeps the header that it unpacked or received, copies only the map if it is the entry's own, removes hop-by-hop headers in place, and ends a slow refusal by closing its body. Before: 22,210 bytes and 269 allocations a call, in a profile with callers and backend servers in one process. Conclusion: no test changes; TestAnswer and the adapter's TestPath check headers.

--- a/internal/call/header.go
+++ b/internal/call/header.go
@@ -15,9 +15,15 @@
 // EndToEnd returns a copy of the header without the hop-by-hop headers, including
 // those that its Connection header lists.
 func EndToEnd(h http.Header) http.Header {
-	connectionOptions := h["Connection"]
 	h = h.Clone()
-	for _, list := range connectionOptions {
+	RemoveHopByHop(h)
+	return h
+}
+
+// RemoveHopByHop removes the hop-by-hop headers from h, including those that its
+// Connection header lists.
+func RemoveHopByHop(h http.Header) {
+	for _, list := range h["Connection"] {
 		for name := range strings.SplitSeq(list, ",") {
 			h.Del(strings.TrimSpace(name))
 		}
@@ -25,5 +31,4 @@
 	for _, name := range hopByHopHeaders {
 		h.Del(name)
 	}
-	return h
 }
--- a/internal/owner/answer.go
+++ b/internal/owner/answer.go
@@ -67,12 +67,12 @@
 
 // discard reads the body of a response that refuses the call, so that its connection
 // can be used again, unless the body is too large or too slow. The caller must close
-// the body. Cancel must end the request.
-func discard(response *http.Response, err error, cancel context.CancelFunc) {
+// the body.
+func discard(response *http.Response, err error) {
 	if verdict.Of(err) != verdict.NotRun {
 		return
 	}
-	defer time.AfterFunc(maxDiscardTime, cancel).Stop()
+	defer time.AfterFunc(maxDiscardTime, func() { _ = response.Body.Close() }).Stop()
 	_, _ = io.Copy(io.Discard, io.LimitReader(response.Body, maxDiscardedBytes))
 }
 
@@ -87,7 +87,8 @@
 		return roundTripError(ctx, err, true)
 	}
 	c.answer.Status = response.StatusCode
-	c.answer.Header = call.EndToEnd(response.Header)
+	call.RemoveHopByHop(response.Header)
+	c.answer.Header = response.Header
 	c.answer.Body = body
 	return nil
 }
--- a/internal/owner/backend.go
+++ b/internal/owner/backend.go
@@ -6,6 +6,7 @@
 	"context"
 	"errors"
 	"io"
+	"maps"
 	"net/http"
 	"net/http/httptrace"
 	"net/url"
@@ -24,6 +25,8 @@
 	connectTimeout = 500 * time.Millisecond
 	// connectionIdleTimeout is the default of Config.IdleTimeout.
 	connectionIdleTimeout = time.Minute
+	// addedHeaders is the number of headers that are added to a request, at most.
+	addedHeaders = 8
 	// maxAnswerHeaderBytes is the default of Config.AnswerHeaderBytes.
 	maxAnswerHeaderBytes = 8 << 10
 )
@@ -95,8 +98,6 @@
 // is NotRun only if the request is invalid, no connection was obtained, or the
 // response has the header Refused.
 func (o *Owner) roundTrip(ctx context.Context, b *backend, c *activeCall, token string) error {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
 	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { c.answer.Offered = true }}
 	request, err := o.newRequest(httptrace.WithClientTrace(ctx, trace), b, c, token)
 	if err != nil {
@@ -108,7 +109,7 @@
 	}
 	defer func() { _ = response.Body.Close() }()
 	if err := o.judge(b, c.request, response); err != nil {
-		discard(response, err, cancel)
+		discard(response, err)
 		return err
 	}
 	return o.readAnswer(ctx, c, response)
@@ -125,9 +126,10 @@
 	}
 	request.Host = r.Host
 	request.ContentLength = int64(len(r.Body))
-	request.Header = r.Header.Clone()
-	if request.Header == nil {
-		request.Header = make(http.Header)
+	request.Header = r.Header
+	if !c.ownsHeader || request.Header == nil {
+		request.Header = make(http.Header, len(r.Header)+addedHeaders)
+		maps.Copy(request.Header, r.Header)
 	}
 	remaining := r.Remaining
 	if deadline, ok := ctx.Deadline(); ok {
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -63,9 +63,11 @@
 // activeCall is the state of one call while the owner handles it.
 type activeCall struct {
 	request *call.Request
-	answer  *call.Answer
-	permit  *admission.Permit
-	parent  *Parent
+	// ownsHeader is set if nothing else uses the request's header.
+	ownsHeader bool
+	answer     *call.Answer
+	permit     *admission.Permit
+	parent     *Parent
 }
 
 // Owner handles the calls for the backend server on its host.
@@ -113,6 +115,12 @@
 
 // Call handles one call and stores its outcome in answer, also if it is an error.
 func (o *Owner) Call(ctx context.Context, request *call.Request, answer *call.Answer) {
+	o.call(ctx, &activeCall{request: request, answer: answer})
+}
+
+// call handles a call. Its request and answer must be set.
+func (o *Owner) call(ctx context.Context, c *activeCall) {
+	request, answer := c.request, c.answer
 	ctx, cancel := context.WithTimeout(ctx, request.Remaining)
 	defer cancel()
 	o.addRunning(request.ID, cancel)
@@ -120,7 +128,6 @@
 
 	answer.ID = request.ID
 	defer answer.Seal()
-	c := &activeCall{request: request, answer: answer}
 	err := o.handler(ctx, c)
 	answer.Load = o.config.Admission.Load()
 	answer.ExtraAttempts = request.ExtraAttempts
@@ -183,7 +190,7 @@
 
 // Call handles one call. Nodes of builds before Exchange use it.
 func (r *RPC) Call(request *call.Request, answer *call.Answer) error {
-	r.owner.Call(context.Background(), request, answer)
+	r.owner.call(context.Background(), &activeCall{request: request, answer: answer, ownsHeader: true})
 	return nil
 }
 
@@ -194,7 +201,7 @@
 		return err
 	}
 	var answer call.Answer
-	r.owner.Call(context.Background(), request, &answer)
+	r.owner.call(context.Background(), &activeCall{request: request, answer: &answer, ownsHeader: true})
 	*reply = answer.Pack()
 	return nil
 }
