--- a/internal/node/endless_test.go
+++ b/internal/node/endless_test.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"errors"
 	"io"
 	"net"
 	"net/http"
@@ -64,6 +65,6 @@
 	for chunk := []byte(strings.Repeat(forever, 4096/len(forever))); err == nil; {
 		_, err = conn.Write(chunk)
 	}
-	timeout, ok := err.(net.Error)
-	qt.Check(t, ok && timeout.Timeout(), qt.IsFalse, qt.Commentf("not closed by the node: %v", err))
+	var failure net.Error
+	qt.Check(t, errors.As(err, &failure) && failure.Timeout(), qt.IsFalse, qt.Commentf("not closed by the node: %v", err))
 }
