--- a/internal/node/messages_test.go
+++ b/internal/node/messages_test.go
@@ -10,7 +10,6 @@
 
 	qt "github.com/frankban/quicktest"
 
-	"curranthold.example/curranthold/internal/settings"
 	"curranthold.example/curranthold/internal/tally"
 )
 
@@ -22,14 +21,7 @@
 // changed or removed line of the list needs a fallback for older nodes; run the test
 // with -update once there is one.
 func TestMessages(t *testing.T) {
-	s := settings.Default()
-	s.Host, s.AvailabilityZone = "host", "zone"
-	for _, address := range []*string{&s.CallerAddress, &s.BackendAddress, &s.PeerAddress, &s.OperatorAddress} {
-		*address = "127.0.0.1:0"
-	}
-	n, err := New(s)
-	qt.Assert(t, err, qt.IsNil)
-	defer func() { qt.Check(t, n.closeComponents(), qt.IsNil) }()
+	n, _ := newIdleNode(t)
 	lines := make(map[string]bool)
 	receivers := map[string]any{
 		"Membership": n.members.RPC(), "Configuration": n.configuration.RPC(), "Owner": n.owner.RPC(),
--- a/internal/node/reload_test.go
+++ b/internal/node/reload_test.go
@@ -32,6 +32,15 @@
 // TestReloadedBurstStays reloads the settings with another burst and then changes the
 // hosts. The burst must remain that of the settings as last loaded.
 func TestReloadedBurstStays(t *testing.T) {
+	n, s := newIdleNode(t)
+	s.Limits.RetrySlack = 30
+	n.Reload(s, nil)
+	n.applyRetryBurst(3)
+	qt.Assert(t, retryBurst(int(n.retrySlack.Load()), 3, false), qt.Equals, 5.0)
+}
+
+// newIdleNode returns a node on loopback addresses that does not run, and its settings.
+func newIdleNode(t *testing.T) (*Node, settings.Settings) {
 	s := settings.Default()
 	s.Host, s.AvailabilityZone = "host", "zone"
 	for _, address := range []*string{&s.CallerAddress, &s.BackendAddress, &s.PeerAddress, &s.OperatorAddress} {
@@ -39,9 +48,6 @@
 	}
 	n, err := New(s)
 	qt.Assert(t, err, qt.IsNil)
-	defer func() { qt.Check(t, n.closeComponents(), qt.IsNil) }()
-	s.Limits.RetrySlack = 30
-	n.Reload(s, nil)
-	n.applyRetryBurst(3)
-	qt.Assert(t, retryBurst(int(n.retrySlack.Load()), 3, false), qt.Equals, 5.0)
+	t.Cleanup(func() { qt.Check(t, n.closeComponents(), qt.IsNil) })
+	return n, s
 }
