Log when a host begins to act as the home of a client account

Change: event 751 and the metric home-changes; a report names the home that answered before, which older builds ignore. No decision changes. Ruled out: a line for each report (14 hosts send about 60 a second for one account).

--- a/internal/tally/account.go
+++ b/internal/tally/account.go
@@ -28,6 +28,8 @@
 	// lastReport is when the last report was sent, lastAnswer when a home last
 	// answered one.
 	lastReport, lastAnswer time.Time
+	// home is the host that gave that answer, "" before the first.
+	home string
 	// nextRetry is the latest retry time given to a refused request.
 	nextRetry time.Time
 	// asking is set while the home is asked for a token. nextAsk is the earliest time
@@ -150,9 +152,10 @@
 	return a.spendRate.rate(now) <= a.limit.Rate/float64(max(hosts, 1))/idleDivisor/homeRateExcess
 }
 
-// applyState applies the home's answer to a report in which this host stated that it
+// applyState applies the answer of a home to a report in which this host stated that it
 // had spent total tokens. Hosts is the number of live hosts.
-func (a *account) applyState(now time.Time, total uint64, s State, hosts int) {
+func (a *account) applyState(now time.Time, home string, total uint64, s State, hosts int) {
+	a.home = home
 	a.hosts = max(hosts, 1)
 	a.lastAnswer = now
 	a.acknowledged = max(a.acknowledged, total)
--- a/internal/tally/home.go
+++ b/internal/tally/home.go
@@ -13,6 +13,8 @@
 	limit   quota.Limit
 	level   float64
 	updated time.Time
+	// lastReport is when a host last reported.
+	lastReport time.Time
 	// spendRate measures how fast all hosts together spend tokens.
 	spendRate rateMeter
 	hosts     map[string]*hostUsage
@@ -58,12 +60,15 @@
 	}
 }
 
+// silent reports whether no host has reported for silenceTimeout.
+func (b *bucket) silent(now time.Time) bool { return now.Sub(b.lastReport) > silenceTimeout }
+
 // applyReport deducts what a host has spent and returns the resulting state of the
 // bucket, which is refilled at the rate refill. Apart from the rare sweep, its cost does
 // not depend on the number of hosts.
 func (b *bucket) applyReport(now time.Time, host string, incarnation uint64, s Spending, refill float64) State {
 	b.level = min(b.level+refill*now.Sub(b.updated).Seconds(), capacity(b.limit))
-	b.updated = now
+	b.updated, b.lastReport = now, now
 	b.sweep(now)
 	usage := b.hostUsage(now, host, incarnation, s)
 	if incarnation >= usage.incarnation && s.Total >= usage.total {
--- a/internal/tally/manager.go
+++ b/internal/tally/manager.go
@@ -22,10 +22,15 @@
 	refusedUnknown  = metrics.Int("refused-unknown-requests")
 	reportMessages  = metrics.Int("report-messages")
 	failedReports   = metrics.Int("failed-report-messages")
+	homeChanges     = metrics.Int("home-changes")
 )
 
-var eventHomeLost = event.New(750, "tally-home-lost", event.Warn,
-	"The home of some client accounts did not answer a report; another host temporarily acts as their home.")
+var (
+	eventHomeLost = event.New(750, "tally-home-lost", event.Warn,
+		"The home of some client accounts did not answer a report; another host temporarily acts as their home.")
+	eventHomeTaken = event.New(751, "tally-home-taken", event.Info,
+		"This host begins to act as the home of a client account. States the tokens in the bucket, the rate at which it is filled, and the home that the first reporting host had before.")
+)
 
 // Config identifies this host and states how it reaches other hosts.
 type Config struct {
@@ -212,7 +217,7 @@
 	a.lastReport = now
 	a.refusedSinceReport = false
 	a.advance(now, m.evenFraction())
-	args.Spendings = append(args.Spendings, Spending{Account: a.name, Total: a.total, Unreported: a.total - a.acknowledged, Level: a.level})
+	args.Spendings = append(args.Spendings, Spending{Account: a.name, Total: a.total, Unreported: a.total - a.acknowledged, Level: a.level, Home: a.home})
 }
 
 // evenFraction returns the fraction of a rate that each host gets if it is divided
@@ -321,7 +326,7 @@
 	now := m.config.Now()
 	for i, state := range reply.States[:min(len(reply.States), len(args.Spendings))] {
 		if a := m.accounts[args.Spendings[i].Account]; a != nil {
-			a.applyState(now, args.Spendings[i].Total, state, len(m.hosts))
+			a.applyState(now, home.ID, args.Spendings[i].Total, state, len(m.hosts))
 			granted = a.applyGrant(now, state.Granted) || granted
 		}
 	}
@@ -367,15 +372,29 @@
 			continue
 		}
 		b := m.buckets[s.Account]
+		taken := b == nil || s.Home != m.config.Host && b.silent(now)
 		if b == nil {
 			b = newBucket(a.limit, s.Level+float64(s.Unreported), now)
 			m.buckets[s.Account] = b
 		}
 		states[i] = b.applyReport(now, args.Host, args.Incarnation, s, m.refillRate(b, partitionOf(s.Account), now))
+		if taken {
+			m.logTaken(s, states[i])
+		}
 	}
 	return states
 }
 
+// logTaken logs that this host begins to act as the home of an account. The first host
+// that reports to it has sent s and gets state.
+func (m *Manager) logTaken(s Spending, state State) {
+	homeChanges.Add(1)
+	eventHomeTaken.Log(event.Fields{
+		"account": s.Account, "tokens": state.Level, "refill-per-second": state.Refill,
+		"hosts": len(m.hosts), "home-before": s.Home, "primary-home": m.primaryHomes[partitionOf(s.Account)].ID,
+	})
+}
+
 // refillRate returns the rate at which this host refills the bucket of an account: the
 // account's rate less what is reserved for hosts that do not report. If this host
 // replaces the primary home, which may still be serving other hosts, it is the sum of
--- a/internal/tally/message.go
+++ b/internal/tally/message.go
@@ -13,6 +13,9 @@
 	// Level is the host's estimate of the tokens left. A home that has no bucket
 	// for the account yet starts from it.
 	Level float64
+	// Home is the host whose answer the reporting host last applied; "" before the
+	// first answer.
+	Home string
 	// Wanted is the number of tokens that the host asks for in addition, for
 	// requests that it would otherwise refuse.
 	Wanted uint64
