Reproduce the QUOTA report: hosts that restart in turn add tokens

The test restarts 14 hosts of three zones in turn, a second apart, while an account sends several times its rate. Each host learns of the others' changes within 0.5 s. The network of the tests now guards its map of hosts, which change in this test.

--- /dev/null
+++ b/internal/tally/restart_test.go
@@ -0,0 +1,187 @@
+package tally
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"curranthold.example/curranthold/internal/history"
+	"curranthold.example/curranthold/internal/quota"
+)
+
+const (
+	// gossipTime bounds how long a host takes to learn of a change of another one.
+	gossipTime = 500 * time.Millisecond
+	// leavingTime is how long a host that leaves still serves requests.
+	leavingTime = 1500 * time.Millisecond
+	// downTime is how long a restarted host is gone.
+	downTime = 500 * time.Millisecond
+)
+
+// restartingFleet is a fleet whose hosts can be restarted. Each host has a view of its
+// own of the live hosts, which lags behind the changes of the others.
+type restartingFleet struct {
+	*network
+	ctx    context.Context
+	limit  quota.Limit
+	hosts  []quota.Host
+	random *rand.Rand
+	// live and leaving hold what each host knows of the others, by its ID.
+	live    map[string]map[string]bool
+	leaving map[string]map[string]bool
+	stop    map[string]context.CancelFunc
+}
+
+func newRestartingFleet(ctx context.Context, n int, limit quota.Limit, seed uint64) *restartingFleet {
+	f := &restartingFleet{
+		network: &network{managers: make(map[string]*Manager), unreachable: make(map[string]map[string]bool)},
+		ctx:     ctx,
+		limit:   limit,
+		random:  rand.New(rand.NewPCG(seed, 5)),
+		live:    make(map[string]map[string]bool),
+		leaving: make(map[string]map[string]bool),
+		stop:    make(map[string]context.CancelFunc),
+	}
+	for i := range n {
+		id := fmt.Sprintf("host-%d", i)
+		f.hosts = append(f.hosts, quota.Host{ID: id, Zone: fmt.Sprintf("zone-%d", 3*i/n), Address: id})
+	}
+	for _, h := range f.hosts {
+		f.start(h)
+	}
+	for _, h := range f.hosts {
+		f.tellAll(h, true, false, 0)
+	}
+	return f
+}
+
+// start starts a host that knows only itself.
+func (f *restartingFleet) start(h quota.Host) {
+	m := New(Config{Host: h.ID, Zone: h.Zone, Incarnation: uint64(time.Now().UnixNano()), Peers: caller{network: f.network, host: h.ID}})
+	m.SetAccounts(map[string]quota.Limit{"account": withHalfOverage(f.limit)})
+	f.live[h.ID] = map[string]bool{h.ID: true}
+	f.leaving[h.ID] = make(map[string]bool)
+	f.managers[h.ID] = m
+	ctx, cancel := context.WithCancel(f.ctx)
+	f.stop[h.ID] = cancel
+	go func() { _ = m.Run(ctx) }()
+}
+
+// tellAll has each host learn of the state of h within a random part of the time delay.
+func (f *restartingFleet) tellAll(h quota.Host, live, leaving bool, delay time.Duration) {
+	for _, other := range f.hosts {
+		wait := time.Duration(f.random.Float64() * float64(delay))
+		if other.ID == h.ID {
+			wait = 0
+		}
+		time.AfterFunc(wait, func() { f.tell(other.ID, h.ID, live, leaving) })
+	}
+}
+
+// tell has a host learn of the state of another one, as a node learns from its members:
+// a host that leaves is no longer listed, other than at that host itself.
+func (f *restartingFleet) tell(host, about string, live, leaving bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.managers[host] == nil {
+		return
+	}
+	f.live[host][about], f.leaving[host][about] = live, leaving
+	var hosts []quota.Host
+	for _, h := range f.hosts {
+		if f.live[host][h.ID] && (!f.leaving[host][h.ID] || h.ID == host) {
+			hosts = append(hosts, h)
+		}
+	}
+	f.managers[host].SetHosts(hosts, f.leaving[host])
+}
+
+// restart stops a host as planned and starts it again.
+func (f *restartingFleet) restart(h quota.Host) {
+	f.tellAll(h, true, true, gossipTime)
+	time.Sleep(leavingTime)
+	f.mu.Lock()
+	m := f.managers[h.ID]
+	delete(f.managers, h.ID)
+	f.mu.Unlock()
+	_ = m.Close()
+	f.stop[h.ID]()
+	time.Sleep(downTime)
+	f.mu.Lock()
+	f.start(h)
+	known := make(map[string]bool)
+	for _, other := range f.hosts {
+		known[other.ID] = f.managers[other.ID] != nil
+	}
+	f.live[h.ID] = known
+	f.mu.Unlock()
+	f.tellAll(h, true, false, gossipTime)
+}
+
+// spendWhileRestarting sends perSecond requests a second to random hosts while the hosts
+// restart in turn, one each interval. It returns the times of the allowed requests, and
+// the number of requests that hosts received.
+func (f *restartingFleet) spendWhileRestarting(perSecond float64, interval time.Duration) (allowed []time.Time, sent int) {
+	order := slices.Clone(f.hosts)
+	f.random.Shuffle(len(order), func(i, j int) { order[i], order[j] = order[j], order[i] })
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		for _, h := range order {
+			go f.restart(h)
+			time.Sleep(interval)
+		}
+		time.Sleep(leavingTime + downTime)
+	}()
+	var mu sync.Mutex
+	var spenders sync.WaitGroup
+	for {
+		select {
+		case <-done:
+			spenders.Wait()
+			return allowed, sent
+		default:
+		}
+		time.Sleep(time.Duration(float64(time.Second) / perSecond))
+		m := f.manager(f.hosts[f.random.IntN(len(f.hosts))].ID)
+		if m == nil {
+			continue
+		}
+		sent++
+		spenders.Go(func() {
+			if m.Spend(f.ctx, "account") == nil {
+				mu.Lock()
+				defer mu.Unlock()
+				allowed = append(allowed, time.Now())
+			}
+		})
+	}
+}
+
+// TestLimitHeldWhileHostsRestartInTurn guards against homes that add tokens as they change.
+func TestLimitHeldWhileHostsRestartInTurn(t *testing.T) {
+	for seed := range uint64(20) {
+		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				ctx, cancel := context.WithCancel(t.Context())
+				defer cancel()
+				limit := quota.Limit{Rate: 81, Burst: 81}
+				f := newRestartingFleet(ctx, 14, limit, seed)
+				f.spendAtRandom(300, 5*time.Second)
+				allowed, _ := f.spendWhileRestarting(300, time.Second)
+				bound := (limit.Rate*window.Seconds()+limit.Burst)*overage + slack
+				t.Logf("%d requests in a window, bound %.0f", history.MaxInWindow(allowed, window), bound)
+				qt.Check(t, float64(history.MaxInWindow(allowed, window)) <= bound, qt.IsTrue)
+				cancel()
+				time.Sleep(time.Second) // Wait for reports in flight.
+			})
+		})
+	}
+}
--- a/internal/tally/tally_test.go
+++ b/internal/tally/tally_test.go
@@ -21,7 +21,7 @@
 // network delivers reports between the managers of a test.
 type network struct {
 	managers map[string]*Manager
-	// mu guards unreachable, which holds for each host the addresses that it cannot
+	// mu guards managers while hosts restart, and unreachable, which holds for each host the addresses that it cannot
 	// reach.
 	mu          sync.Mutex
 	unreachable map[string]map[string]bool
@@ -37,10 +37,18 @@
 
 func (c caller) Call(_ context.Context, address, _ string, args, reply any) error {
 	time.Sleep(2 * time.Millisecond)
-	if c.network.isUnreachable(c.host, address) || c.network.managers[address] == nil {
+	m := c.network.manager(address)
+	if m == nil || c.network.isUnreachable(c.host, address) {
 		return errUnreachable
 	}
-	return c.network.managers[address].RPC().(*RPC).Report(args.(*ReportArgs), reply.(*ReportReply))
+	return m.RPC().(*RPC).Report(args.(*ReportArgs), reply.(*ReportReply))
+}
+
+// manager returns the manager of a host, or nil if the host is down.
+func (n *network) manager(host string) *Manager {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.managers[host]
 }
 
 func (n *network) isUnreachable(from, to string) bool {
