Have a leaving host report to the home that the other hosts chose

Cause: the list of hosts that a node passes on leaves out hosts that leave, other than itself. A home that leaves so stayed the home in its own view and filled a bucket at the whole rate for the requests that it still got, while the others' new home did the same. Class: a host that leaves judges itself by other rules than the rest do. Change: a leaving host is no home in its own view either, if there is another one. Conclusion: only hosts that have not heard of the leaving yet report to it; what they spend there is subtracted as they move.

--- a/internal/tally/manager.go
+++ b/internal/tally/manager.go
@@ -59,8 +59,10 @@
 	missingSince map[string]time.Time
 	// avoidedUntil holds, by host, until when it is not chosen as a home.
 	avoidedUntil map[string]time.Time
-	closed       bool
-	calls        conc.WaitGroup
+	// leaving is set once this host has announced that it leaves.
+	leaving bool
+	closed  bool
+	calls   conc.WaitGroup
 }
 
 // New returns a Manager that knows only this host.
@@ -106,7 +108,7 @@
 }
 
 // SetHosts sets the live hosts, this one included. Leaving holds the IDs of hosts that
-// have announced that they leave.
+// have announced that they leave, this one included.
 func (m *Manager) SetHosts(hosts []quota.Host, leaving map[string]bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -122,6 +124,7 @@
 		}
 	}
 	m.hosts = append([]quota.Host(nil), hosts...)
+	m.leaving = leaving[m.config.Host]
 	m.choosePrimaryHomes()
 }
 
@@ -299,11 +302,15 @@
 }
 
 // highestScoring returns the eligible host with the highest score, or this host if
-// none is eligible.
+// none is eligible. A host that is leaving is no home: the other hosts do not report
+// to it any more.
 func (m *Manager) highestScoring(p int, eligible func(quota.Host) bool) quota.Host {
 	best := quota.Host{ID: m.config.Host, Zone: m.config.Zone}
 	bestScore := uint64(0)
 	for _, h := range m.hosts {
+		if m.leaving && h.ID == m.config.Host {
+			continue
+		}
 		if s := homeScore(p, h.ID); s >= bestScore && eligible(h) {
 			best, bestScore = h, s
 		}
--- a/internal/tally/restart_test.go
+++ b/internal/tally/restart_test.go
@@ -214,3 +214,21 @@
 		})
 	}
 }
+
+// TestLeavingHostFillsNoBucketForItself guards against a leaving home that goes on as the home of its own requests.
+func TestLeavingHostFillsNoBucketForItself(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		limit := quota.Limit{Rate: 100, Burst: 100}
+		f := newRestartingFleet(ctx, 3, limit, 1)
+		f.spendAtRandom(400, 5*time.Second)
+		home := f.managers["host-0"].home(partitionOf("account"), time.Now())
+		f.tellAll(home, true, true, 0)
+		allowed := f.spendAtRandom(400, 5*time.Second)
+		bound := (limit.Rate*window.Seconds()+limit.Burst)*overage + slack
+		qt.Check(t, float64(len(allowed)) <= bound, qt.IsTrue, qt.Commentf("%d requests in 5 s, bound %.0f", len(allowed), bound))
+		cancel()
+		time.Sleep(time.Second) // Wait for reports in flight.
+	})
+}
