Compare the levels of two homes at the same moment

Cause: a home that takes over compared the level that hosts state now, cut at the capacity, with its own less what it had deducted. A host that had been idle states a full bucket; what this one had refilled since it began was then lost. Ruled out: extrapolating at the rate that the home stated; a stand-in for the home states a low one, and the result is then too low after some idle seconds. TestNewHomeAddsNoTokens has the case of two full buckets. Conclusion: a change of the home neither adds nor loses tokens.

--- a/internal/tally/account.go
+++ b/internal/tally/account.go
@@ -45,9 +45,8 @@
 }
 
 func newAccount(name string, limit quota.Limit, now time.Time) *account {
-	startLevel := capacity(limit) / startLevelDivisor
 	return &account{
-		name: name, limit: limit, refillRate: limit.Rate, hosts: 1, level: startLevel, homeLevel: startLevel,
+		name: name, limit: limit, refillRate: limit.Rate, hosts: 1, level: capacity(limit) / startLevelDivisor,
 		updated: now, lastAnswer: now,
 	}
 }
@@ -65,11 +64,9 @@
 
 // spending returns the account's part of a report.
 func (a *account) spending(now time.Time) Spending {
-	unreported := a.total - a.acknowledged
-	refilled := a.homeLevel + a.refillRate*now.Sub(a.lastAnswer).Seconds()
 	return Spending{
-		Account: a.name, Total: a.total, Unreported: unreported,
-		Level: min(refilled, capacity(a.limit)) - float64(unreported), Home: a.home,
+		Account: a.name, Total: a.total, Unreported: a.total - a.acknowledged, Level: a.level,
+		Home: a.home, HomeLevel: a.homeLevel, HomeAge: now.Sub(a.lastAnswer),
 	}
 }
 
--- a/internal/tally/handover_test.go
+++ b/internal/tally/handover_test.go
@@ -28,42 +28,51 @@
 	}{
 		"idle home takes over an empty bucket": {
 			idle:    10 * time.Second,
-			reports: []reportAt{{0, "a", Spending{Total: 50, Unreported: 3, Level: -1, Home: "other"}}},
+			reports: []reportAt{{0, "a", Spending{Total: 50, Unreported: 3, HomeLevel: 2, Home: "other"}}},
 			level:   -1,
 		},
 		"idle home takes over a full bucket": {
 			idle:    10 * time.Second,
-			reports: []reportAt{{0, "a", Spending{Level: 60, Home: "other"}}},
+			reports: []reportAt{{0, "a", Spending{HomeLevel: 60, Home: "other"}}},
 			level:   60,
 		},
 		"first host has just started, the second knows the level": {
 			idle: 10 * time.Second,
 			reports: []reportAt{
 				{0, "a", Spending{Total: 2, Unreported: 2, Level: 13}},
-				{0, "b", Spending{Level: 40, Home: "other"}},
+				{0, "b", Spending{HomeLevel: 40, Home: "other"}},
 			},
 			level: 38,
 		},
 		"both homes refill while hosts move": {
 			idle: 10 * time.Second,
 			reports: []reportAt{
-				{0, "a", Spending{Level: 5, Home: "other"}},
-				{200 * time.Millisecond, "a", Spending{Total: 20, Unreported: 20, Level: 5, Home: "self"}},
-				{200 * time.Millisecond, "b", Spending{Level: 10, Home: "other"}},
+				{0, "a", Spending{HomeLevel: 5, Home: "other"}},
+				{200 * time.Millisecond, "a", Spending{Total: 20, Unreported: 20, HomeLevel: 5, Home: "self"}},
+				{200 * time.Millisecond, "b", Spending{HomeLevel: 10, Home: "other"}},
 			},
 			level: -10,
 		},
+		"both buckets stay full while hosts move": {
+			idle: 10 * time.Second,
+			reports: []reportAt{
+				{0, "a", Spending{HomeLevel: 60, Home: "other"}},
+				{900 * time.Millisecond, "a", Spending{Total: 50, Unreported: 50, HomeLevel: 60, Home: "self"}},
+				{time.Second, "b", Spending{HomeLevel: 60, HomeAge: 3 * time.Second, Home: "other"}},
+			},
+			level: 20,
+		},
 		"host returns from another home much later": {
 			idle: 10 * time.Second,
 			reports: []reportAt{
-				{0, "a", Spending{Level: 5, Home: "other"}},
-				{500 * time.Millisecond, "a", Spending{Total: 40, Unreported: 40, Level: 5, Home: "self"}},
-				{1100 * time.Millisecond, "b", Spending{Level: 10, Home: "other"}},
+				{0, "a", Spending{HomeLevel: 5, Home: "other"}},
+				{500 * time.Millisecond, "a", Spending{Total: 40, Unreported: 40, HomeLevel: 5, Home: "self"}},
+				{1100 * time.Millisecond, "b", Spending{HomeLevel: 10, Home: "other"}},
 			},
 			level: 10,
 		},
 		"host that reports to the same home is believed no level": {
-			reports: []reportAt{{0, "a", Spending{Level: 5, Home: "self"}}},
+			reports: []reportAt{{0, "a", Spending{HomeLevel: 5, Home: "self"}}},
 			level:   60,
 		},
 	}
--- a/internal/tally/home.go
+++ b/internal/tally/home.go
@@ -17,12 +17,7 @@
 	refill float64
 	// lastReport is when a host last reported.
 	lastReport time.Time
-	// takenAt is when this host last began to act as the account's home, and
-	// deducted the number of tokens deducted since.
-	takenAt  time.Time
-	deducted float64
-	// uncertain is set while no host that reported since takenAt knew the level.
-	uncertain bool
+	takeover   takeover
 	// spendRate measures how fast all hosts together spend tokens.
 	spendRate rateMeter
 	hosts     map[string]*hostUsage
@@ -77,37 +72,10 @@
 	b.updated, b.refill = now, refill
 }
 
-// adopt takes over the level of the home to which a host reported before, which this
-// host, self, does not know. It returns true if self begins to act as the home.
-//
-// The stated level lacks what this home has deducted since it began. While hosts move
-// from one home to the next, both refill their buckets; subtracting what was deducted
-// here from the level there leaves the tokens of a single bucket.
-func (b *bucket) adopt(now time.Time, self string, s Spending) (taken bool) {
-	stated := s.Level + float64(s.Unreported)
-	if s.Home != self && b.silent(now) {
-		b.takenAt, b.deducted, b.uncertain = now, 0, s.Home == ""
-		b.level = min(b.level, stated)
-		return true
-	}
-	switch {
-	case s.Home == "":
-	case b.uncertain:
-		b.uncertain = false
-		b.level = min(stated, capacity(b.limit)) - b.deducted
-	case s.Home == self:
-	case now.Sub(b.takenAt) <= handoverTime:
-		b.level = min(b.level, stated-b.deducted)
-	default:
-		b.level = min(b.level, stated)
-	}
-	return false
-}
-
 // deduct counts tokens as spent by a host.
 func (b *bucket) deduct(now time.Time, usage *hostUsage, tokens float64) {
 	b.level -= tokens
-	b.deducted += tokens
+	b.takeover.deducted += tokens
 	usage.spendRate.add(tokens, now)
 	b.spendRate.add(tokens, now)
 }
--- a/internal/tally/message.go
+++ b/internal/tally/message.go
@@ -1,5 +1,7 @@
 package tally
 
+import "time"
+
 // ServiceName is the net/rpc name of the receiver that [Manager.RPC] returns.
 const ServiceName = "Tally"
 
@@ -10,13 +12,15 @@
 	Total uint64
 	// Unreported is the part of Total that no home has acknowledged.
 	Unreported uint64
-	// Level is the number of tokens left in the bucket, as last stated by Home and
-	// refilled since, less Unreported. A home that does not know what was spent at
-	// another one starts from it.
+	// Level is the host's estimate of the tokens left. A home starts from it if it
+	// has no bucket for the account yet and the host knows of no other home.
 	Level float64
 	// Home is the host whose answer the reporting host last applied; "" before the
-	// first answer.
-	Home string
+	// first answer. HomeLevel is the number of tokens left according to that answer,
+	// and HomeAge the time since then.
+	Home      string
+	HomeLevel float64
+	HomeAge   time.Duration
 	// Wanted is the number of tokens that the host asks for in addition, for
 	// requests that it would otherwise refuse.
 	Wanted uint64
