Pass over one host, not its zone, if the process of a home has ended

Cause: after any failed report to a home in another zone a host passed over all hosts of that zone for a second, though a refused connection shows that the zone can be reached. Hosts of the zone itself chose another replacement, so that two hosts were the home, one of them at the whole rate. Class: a small failure is taken for a large one. Change: a report that fails at once passes over that host; one that nothing answers, or a second host of the zone, passes over the zone. Measured: TestEndedHomeIsReplacedByOneHost, two homes before, one now. TestZonePartition also plays a partition that resets connections; its silent case is as before. The tests' network now tells a host that ended from one out of reach. Conclusion: after an end of a process all hosts choose the same replacement, but for those that have not noticed yet.

--- a/internal/tally/manager.go
+++ b/internal/tally/manager.go
@@ -2,7 +2,10 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
+	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -348,15 +351,16 @@
 }
 
 // avoidHome temporarily excludes a host from being chosen as a home, because it did not
-// answer a report. If it is in another zone, all hosts of that zone are excluded, since
-// the whole zone may be unreachable.
+// answer a report. If it is in another zone and that zone may be unreachable, all hosts
+// of the zone are excluded.
 func (m *Manager) avoidHome(home quota.Host, err error) {
 	failedReports.Add(1)
 	m.mu.Lock()
 	now := m.config.Now()
 	_, avoidedBefore := m.avoidedUntil[home.ID]
+	wholeZone := home.Zone != m.config.Zone && (isTimeout(err) || m.avoidsOtherIn(home))
 	for _, h := range m.hosts {
-		if h.ID == home.ID || (h.Zone == home.Zone && h.Zone != m.config.Zone) {
+		if h.ID == home.ID || wholeZone && h.Zone == home.Zone {
 			m.avoidedUntil[h.ID] = now.Add(homeAvoidTime + rand.N(homeAvoidTime/4))
 		}
 	}
@@ -366,6 +370,21 @@
 	}
 }
 
+// isTimeout reports whether a report failed because nothing answered. A report that
+// fails at once reached the host, whose process has probably ended.
+func isTimeout(err error) bool {
+	var netErr net.Error
+	return errors.As(err, &netErr) && netErr.Timeout()
+}
+
+// avoidsOtherIn reports whether another host in the zone of home is avoided.
+func (m *Manager) avoidsOtherIn(home quota.Host) bool {
+	return slices.ContainsFunc(m.hosts, func(h quota.Host) bool {
+		_, avoided := m.avoidedUntil[h.ID]
+		return avoided && h.Zone == home.Zone && h.ID != home.ID
+	})
+}
+
 // applyReport applies a report to the buckets of its accounts and returns their states.
 func (m *Manager) applyReport(args *ReportArgs) []State {
 	m.mu.Lock()
--- a/internal/tally/restart_test.go
+++ b/internal/tally/restart_test.go
@@ -41,7 +41,7 @@
 
 func newRestartingFleet(ctx context.Context, n int, limit quota.Limit, seed uint64) *restartingFleet {
 	f := &restartingFleet{
-		network: &network{managers: make(map[string]*Manager), unreachable: make(map[string]map[string]bool)},
+		network: newNetwork(),
 		ctx:     ctx,
 		limit:   limit,
 		random:  rand.New(rand.NewPCG(seed, 5)),
@@ -232,3 +232,29 @@
 		time.Sleep(time.Second) // Wait for reports in flight.
 	})
 }
+
+// TestEndedHomeIsReplacedByOneHost guards against hosts that pass over a zone because one of its processes ended.
+func TestEndedHomeIsReplacedByOneHost(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		f := newRestartingFleet(ctx, 12, quota.Limit{Rate: 100, Burst: 100}, 1)
+		p := partitionOf("account")
+		f.spendAtRandom(400, time.Second)
+		home := f.managers["host-0"].home(p, time.Now())
+		f.mu.Lock()
+		ended := f.managers[home.ID]
+		delete(f.managers, home.ID)
+		f.mu.Unlock()
+		f.stop[home.ID]()
+		f.spendAtRandom(400, 500*time.Millisecond)
+		homes := make(map[string]int)
+		for _, m := range f.managers {
+			homes[m.home(p, time.Now()).ID]++
+		}
+		qt.Check(t, homes, qt.HasLen, 1, qt.Commentf("homes of the hosts: %v", homes))
+		cancel()
+		_ = ended.Close()
+		time.Sleep(time.Second) // Wait for reports in flight.
+	})
+}
--- a/internal/tally/tally_test.go
+++ b/internal/tally/tally_test.go
@@ -25,6 +25,8 @@
 	// reach.
 	mu          sync.Mutex
 	unreachable map[string]map[string]bool
+	// partitionError is the error of calls to unreachable hosts.
+	partitionError error
 }
 
 // caller is the peer.Caller of one host.
@@ -33,13 +35,21 @@
 	host    string
 }
 
-var errUnreachable = errors.New("unreachable")
+// errUnreachable is the error of a call to which nothing answers, and errEnded that of a
+// call to a host whose process has ended.
+var (
+	errUnreachable = fmt.Errorf("unreachable: %w", context.DeadlineExceeded)
+	errEnded       = errors.New("connection refused")
+)
 
 func (c caller) Call(_ context.Context, address, _ string, args, reply any) error {
 	time.Sleep(2 * time.Millisecond)
+	if c.network.isUnreachable(c.host, address) {
+		return c.network.partitionError
+	}
 	m := c.network.manager(address)
-	if m == nil || c.network.isUnreachable(c.host, address) {
-		return errUnreachable
+	if m == nil {
+		return errEnded
 	}
 	return m.RPC().(*RPC).Report(args.(*ReportArgs), reply.(*ReportReply))
 }
@@ -76,9 +86,15 @@
 	return quota.Limit{Rate: limit.Rate * (1 + (overage-1)/2), Burst: limit.Burst}
 }
 
+func newNetwork() *network {
+	return &network{
+		managers: make(map[string]*Manager), unreachable: make(map[string]map[string]bool), partitionError: errUnreachable,
+	}
+}
+
 // fleet starts n managers that know each other, half of them in each of two zones.
 func fleet(ctx context.Context, n int, limit quota.Limit) *network {
-	net := &network{managers: make(map[string]*Manager), unreachable: make(map[string]map[string]bool)}
+	net := newNetwork()
 	var hosts []quota.Host
 	for i := range n {
 		id := fmt.Sprintf("host-%d", i)
@@ -244,11 +260,18 @@
 // TestZonePartition partitions the network between the two zones while the demand in
 // both exceeds the limit. Together they must keep to the limit.
 func TestZonePartition(t *testing.T) {
+	for name, err := range map[string]error{"silent": errUnreachable, "connections reset": errEnded} {
+		t.Run(name, func(t *testing.T) { testZonePartition(t, err) })
+	}
+}
+
+func testZonePartition(t *testing.T, partitionError error) {
 	limit := quota.Limit{Rate: 100, Burst: 100}
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
 		defer cancel()
 		n := fleet(ctx, 10, limit)
+		n.partitionError = partitionError
 		var allowed []time.Time
 		first, _ := n.spendEverywhere(40, 5*time.Second)
 		n.partitionZones()
