Let a home that knows better name the home of an account

Cause: news of a host takes up to a second to reach all hosts of other zones. A stand-in also filled more than the rate if hosts reported that it did not know. Change: an answer names the home if it is another host. A reporter follows it if that host scores higher than the ones it knows (a host that is back), and passes over the answering host if it scores lower (that one is leaving). A stand-in fills at most the rate. Conclusion: two homes last as long as the one that is replaced needs to hear of it.

--- a/internal/tally/doc.go
+++ b/internal/tally/doc.go
@@ -39,6 +39,9 @@
 	// homeAvoidTime is the shortest time for which another host replaces a home
 	// that did not answer.
 	homeAvoidTime = time.Second
+	// namedHomeTime is how long a host relies on a home that another one named. It
+	// exceeds the time in which a host learns of a live host.
+	namedHomeTime = 2 * time.Second
 	// askTimeout bounds the time for which a request waits for the home's answer.
 	askTimeout = 100 * time.Millisecond
 	// askInterval is the shortest time before the home is asked for a token of an
--- a/internal/tally/manager.go
+++ b/internal/tally/manager.go
@@ -2,10 +2,6 @@
 
 import (
 	"context"
-	"errors"
-	"math/rand/v2"
-	"net"
-	"slices"
 	"sync"
 	"time"
 
@@ -62,6 +58,8 @@
 	missingSince map[string]time.Time
 	// avoidedUntil holds, by host, until when it is not chosen as a home.
 	avoidedUntil map[string]time.Time
+	// named holds the hosts that homes named, by partition.
+	named [partitionCount]namedHome
 	// leaving is set once this host has announced that it leaves.
 	leaving bool
 	closed  bool
@@ -131,13 +129,6 @@
 	m.choosePrimaryHomes()
 }
 
-// choosePrimaryHomes chooses the home of each partition from all live hosts.
-func (m *Manager) choosePrimaryHomes() {
-	for p := range m.primaryHomes {
-		m.primaryHomes[p] = m.highestScoring(p, func(quota.Host) bool { return true })
-	}
-}
-
 // Spend takes a token from the named account. If the host's estimate says that there is
 // none, it asks the home for one. Any error is a *verdict.Error with verdict not-run.
 func (m *Manager) Spend(ctx context.Context, name string) error {
@@ -298,29 +289,6 @@
 	}
 }
 
-// home returns the home of a partition: the host with the highest score among those
-// that are not avoided, or this host if all are avoided.
-func (m *Manager) home(p int, now time.Time) quota.Host {
-	return m.highestScoring(p, func(h quota.Host) bool { return !now.Before(m.avoidedUntil[h.ID]) })
-}
-
-// highestScoring returns the eligible host with the highest score, or this host if
-// none is eligible. A host that is leaving is no home: the other hosts do not report
-// to it any more.
-func (m *Manager) highestScoring(p int, eligible func(quota.Host) bool) quota.Host {
-	best := quota.Host{ID: m.config.Host, Zone: m.config.Zone}
-	bestScore := uint64(0)
-	for _, h := range m.hosts {
-		if m.leaving && h.ID == m.config.Host {
-			continue
-		}
-		if s := homeScore(p, h.ID); s >= bestScore && eligible(h) {
-			best, bestScore = h, s
-		}
-	}
-	return best
-}
-
 // report sends a report to a home and applies the answer. It reports whether the home
 // granted a token.
 func (m *Manager) report(home quota.Host, args *ReportArgs) (granted bool) {
@@ -335,7 +303,9 @@
 	defer m.mu.Unlock()
 	now := m.config.Now()
 	for i, state := range reply.States[:min(len(reply.States), len(args.Spendings))] {
-		if a := m.accounts[args.Spendings[i].Account]; a != nil {
+		name := args.Spendings[i].Account
+		m.followHome(partitionOf(name), home.ID, state.Primary, now)
+		if a := m.accounts[name]; a != nil {
 			a.applyState(now, home.ID, args.Spendings[i].Total, state, len(m.hosts))
 			granted = a.applyGrant(now, state.Granted) || granted
 		}
@@ -350,41 +320,6 @@
 	return m.config.Peers.Call(ctx, home.Address, ServiceName+".Report", args, reply)
 }
 
-// avoidHome temporarily excludes a host from being chosen as a home, because it did not
-// answer a report. If it is in another zone and that zone may be unreachable, all hosts
-// of the zone are excluded.
-func (m *Manager) avoidHome(home quota.Host, err error) {
-	failedReports.Add(1)
-	m.mu.Lock()
-	now := m.config.Now()
-	_, avoidedBefore := m.avoidedUntil[home.ID]
-	wholeZone := home.Zone != m.config.Zone && (isTimeout(err) || m.avoidsOtherIn(home))
-	for _, h := range m.hosts {
-		if h.ID == home.ID || wholeZone && h.Zone == home.Zone {
-			m.avoidedUntil[h.ID] = now.Add(homeAvoidTime + rand.N(homeAvoidTime/4))
-		}
-	}
-	m.mu.Unlock()
-	if !avoidedBefore {
-		eventHomeLost.Log(event.Fields{"home": home.ID, "zone": home.Zone, "error": err.Error()})
-	}
-}
-
-// isTimeout reports whether a report failed because nothing answered. A report that
-// fails at once reached the host, whose process has probably ended.
-func isTimeout(err error) bool {
-	var netErr net.Error
-	return errors.As(err, &netErr) && netErr.Timeout()
-}
-
-// avoidsOtherIn reports whether another host in the zone of home is avoided.
-func (m *Manager) avoidsOtherIn(home quota.Host) bool {
-	return slices.ContainsFunc(m.hosts, func(h quota.Host) bool {
-		_, avoided := m.avoidedUntil[h.ID]
-		return avoided && h.Zone == home.Zone && h.ID != home.ID
-	})
-}
-
 // applyReport applies a report to the buckets of its accounts and returns their states.
 func (m *Manager) applyReport(args *ReportArgs) []State {
 	m.mu.Lock()
@@ -405,6 +340,9 @@
 		b.advance(now, m.refillRate(b, partitionOf(s.Account), now))
 		taken := b.adopt(now, m.config.Host, s)
 		states[i] = b.applyReport(now, args.Host, args.Incarnation, s)
+		if primary := m.primaryHomes[partitionOf(s.Account)]; primary.ID != m.config.Host {
+			states[i].Primary = primary
+		}
 		if taken {
 			m.logTaken(s, states[i])
 		}
@@ -430,7 +368,7 @@
 	evenShare := b.limit.Rate * m.evenFraction()
 	b.countHosts(now, evenShare, m.missingSince)
 	if m.primaryHomes[partition].ID != m.config.Host {
-		return evenShare * float64(max(b.reportingHosts, 1))
+		return min(evenShare*float64(max(b.reportingHosts, 1)), b.limit.Rate)
 	}
 	reservedRate := b.reservedRate
 	for id := range m.missingSince {
--- a/internal/tally/message.go
+++ b/internal/tally/message.go
@@ -1,6 +1,10 @@
 package tally
 
-import "time"
+import (
+	"time"
+
+	"curranthold.example/curranthold/internal/quota"
+)
 
 // ServiceName is the net/rpc name of the receiver that [Manager.RPC] returns.
 const ServiceName = "Tally"
@@ -45,6 +49,9 @@
 	// Granted is how many of the tokens wanted the home has taken from the bucket.
 	// They count as spent and reported.
 	Granted uint64
+	// Primary is the home of the account according to the answering host, if it is
+	// another one.
+	Primary quota.Host
 }
 
 // ReportReply holds the state of each account in the report, in the same order.
--- a/internal/tally/restart_test.go
+++ b/internal/tally/restart_test.go
@@ -59,6 +59,7 @@
 	for _, h := range f.hosts {
 		f.tellAll(h, true, false, 0)
 	}
+	time.Sleep(time.Millisecond)
 	return f
 }
 
@@ -140,6 +141,20 @@
 		}
 		time.Sleep(leavingTime + downTime)
 	}()
+	return f.spendUntil(done, perSecond)
+}
+
+// spendFor is spendUntil for the duration d.
+func (f *restartingFleet) spendFor(perSecond float64, d time.Duration) (allowed []time.Time, sent int) {
+	done := make(chan struct{})
+	time.AfterFunc(d, func() { close(done) })
+	return f.spendUntil(done, perSecond)
+}
+
+// spendUntil sends perSecond requests a second to random hosts until done is closed, also
+// while earlier ones wait for a home. It returns the times of the allowed requests, and
+// the number of requests that hosts received.
+func (f *restartingFleet) spendUntil(done <-chan struct{}, perSecond float64) (allowed []time.Time, sent int) {
 	var mu sync.Mutex
 	var spenders sync.WaitGroup
 	for {
@@ -174,7 +189,7 @@
 				defer cancel()
 				limit := quota.Limit{Rate: 81, Burst: 81}
 				f := newRestartingFleet(ctx, 14, limit, seed)
-				f.spendAtRandom(300, 5*time.Second)
+				f.spendFor(300, 5*time.Second)
 				allowed, _ := f.spendWhileRestarting(300, time.Second)
 				bound := (limit.Rate*window.Seconds()+limit.Burst)*overage + slack
 				t.Logf("%d requests in a window, bound %.0f", history.MaxInWindow(allowed, window), bound)
@@ -200,7 +215,7 @@
 				ctx, cancel := context.WithCancel(t.Context())
 				defer cancel()
 				f := newRestartingFleet(ctx, 14, quota.Limit{Rate: test.rate, Burst: test.rate}, 1)
-				f.spendAtRandom(test.demand*test.rate, 5*time.Second)
+				f.spendFor(test.demand*test.rate, 5*time.Second)
 				served, sent := 0, 0
 				for range 5 {
 					allowed, n := f.spendWhileRestarting(test.demand*test.rate, time.Second)
@@ -222,10 +237,10 @@
 		defer cancel()
 		limit := quota.Limit{Rate: 100, Burst: 100}
 		f := newRestartingFleet(ctx, 3, limit, 1)
-		f.spendAtRandom(400, 5*time.Second)
+		f.spendFor(400, 5*time.Second)
 		home := f.managers["host-0"].home(partitionOf("account"), time.Now())
 		f.tellAll(home, true, true, 0)
-		allowed := f.spendAtRandom(400, 5*time.Second)
+		allowed, _ := f.spendFor(400, 5*time.Second)
 		bound := (limit.Rate*window.Seconds()+limit.Burst)*overage + slack
 		qt.Check(t, float64(len(allowed)) <= bound, qt.IsTrue, qt.Commentf("%d requests in 5 s, bound %.0f", len(allowed), bound))
 		cancel()
@@ -240,14 +255,14 @@
 		defer cancel()
 		f := newRestartingFleet(ctx, 12, quota.Limit{Rate: 100, Burst: 100}, 1)
 		p := partitionOf("account")
-		f.spendAtRandom(400, time.Second)
+		f.spendFor(400, time.Second)
 		home := f.managers["host-0"].home(p, time.Now())
 		f.mu.Lock()
 		ended := f.managers[home.ID]
 		delete(f.managers, home.ID)
 		f.mu.Unlock()
 		f.stop[home.ID]()
-		f.spendAtRandom(400, 500*time.Millisecond)
+		f.spendFor(400, 500*time.Millisecond)
 		homes := make(map[string]int)
 		for _, m := range f.managers {
 			homes[m.home(p, time.Now()).ID]++
@@ -258,3 +273,55 @@
 		time.Sleep(time.Second) // Wait for reports in flight.
 	})
 }
+
+// TestHostsFollowAHomeThatKnowsBetter guards against two homes while some hosts have not heard of a change.
+func TestHostsFollowAHomeThatKnowsBetter(t *testing.T) {
+	tests := map[string]struct{ live, leaving bool }{
+		"home returned": {live: true},
+		"home leaves":   {live: true, leaving: true},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				ctx, cancel := context.WithCancel(t.Context())
+				defer cancel()
+				limit := quota.Limit{Rate: 100, Burst: 100}
+				f := newRestartingFleet(ctx, 12, limit, 1)
+				p := partitionOf("account")
+				first := f.managers["host-0"].home(p, time.Now())
+				if !test.leaving {
+					f.tellAll(first, false, false, 0)
+					time.Sleep(time.Millisecond)
+					f.tell(first.ID, first.ID, true, false)
+				}
+				other := f.managers[f.otherThan(first)].home(p, time.Now())
+				f.spendFor(400, 5*time.Second)
+				// Half of the hosts hear of the change, the home before among them.
+				for i, h := range f.hosts {
+					if i%2 == 0 || h.ID == other.ID || h.ID == first.ID {
+						f.tell(h.ID, first.ID, test.live, test.leaving)
+					}
+				}
+				allowed, _ := f.spendFor(400, 5*time.Second)
+				bound := (limit.Rate*window.Seconds()+limit.Burst)*overage + slack
+				t.Logf("%d requests in 5 s, bound %.0f", len(allowed), bound)
+				qt.Check(t, float64(len(allowed)) <= bound, qt.IsTrue)
+				homes := make(map[string]int)
+				for _, m := range f.managers {
+					homes[m.home(p, time.Now()).ID]++
+				}
+				qt.Check(t, homes, qt.HasLen, 1, qt.Commentf("homes of the hosts: %v", homes))
+				cancel()
+				time.Sleep(time.Second) // Wait for reports in flight.
+			})
+		})
+	}
+}
+
+// otherThan returns the ID of a host other than h.
+func (f *restartingFleet) otherThan(h quota.Host) string {
+	if f.hosts[0].ID != h.ID {
+		return f.hosts[0].ID
+	}
+	return f.hosts[1].ID
+}
