--- a/pkg/header/header.go
+++ b/pkg/header/header.go
@@ -33,6 +33,11 @@
 	// Refused is set by a backend server in the response to a request that it
 	// refused without running it.
 	Refused = "Curranthold-Refused"
+	// RateLimit is set by a backend server in need in all its responses: the number of
+	// requests a second that it takes from all callers together.
+	RateLimit = "Curranthold-Rate-Limit"
+	// Leaving is set to 1 in all responses of a backend server that is shutting down.
+	Leaving = "Curranthold-Leaving"
 	// OperationID identifies an operation on the resource API. An operation is
 	// applied at most once for each identifier.
 	OperationID = "Curranthold-Operation-Id"
