Keep to the rate of requests that a backend server names

Cause: nothing read what a backend server states in its answers; it had free slots and so got its share. Class: a peer's statement that is passed on unread. Ruled out: hosts that keep a limit each but not together; requests pass through one owner, which can keep it without messages. Change: the owner paces requests to the rate named in the last answer, states a lower limit in its load, and refuses what waits too long as not run, so that it goes to another host. An answer of another request or from another server (421) states nothing. A rate that is no number is logged once and ignored. Conclusion: the limit holds at its only entrance.

--- a/internal/admission/controller.go
+++ b/internal/admission/controller.go
@@ -52,8 +52,10 @@
 	announced        bool
 	leaving          bool
 	zoneOutOfService bool
-	pacer            pacer
-	// paceTimer calls dispatchPaced when the pacer allows the next request.
+	// coldPacer limits the rate of requests to a cold backend server.
+	coldPacer pacer
+	namedRate namedRate
+	// paceTimer calls dispatchPaced when the pacers allow the next request.
 	paceTimer *time.Timer
 }
 
@@ -79,11 +81,12 @@
 	restart := !c.announced || a.Incarnation != c.incarnation
 	if restart {
 		c.failureRate = failureRate{}
+		c.namedRate = namedRate{}
 	}
 	c.announced = true
 	c.incarnation = a.Incarnation
 	c.limiter.coldRateAnnounced = a.ColdRate > 0
-	c.pacer.set(a.ColdRate, a.ColdRemaining, now)
+	c.coldPacer.set(a.ColdRate, a.ColdRemaining, now)
 	ramped := c.limiter.announce(a.slots(), a.Cold, restart, now)
 	if c.limiter.slots == 0 {
 		c.refuseQueued(func(*waiter) *verdict.Error {
@@ -279,7 +282,7 @@
 	if c.inFlight >= limit {
 		return false
 	}
-	if wait := c.pacer.wait(now); wait > 0 {
+	if wait := max(c.coldPacer.wait(now), c.namedRate.pacer.wait(now)); wait > 0 {
 		c.dispatchAfter(wait)
 		return false
 	}
@@ -290,7 +293,7 @@
 	return lessUrgent < limit-c.reserve.slots(limit, now)
 }
 
-// dispatchAfter schedules dispatchPaced for when the pacer allows the next
+// dispatchAfter schedules dispatchPaced for when the pacers allow the next
 // request.
 func (c *Controller) dispatchAfter(wait time.Duration) {
 	if c.paceTimer == nil {
@@ -309,7 +312,8 @@
 }
 
 func (c *Controller) start(r Request, now time.Time) *Permit {
-	c.pacer.start(now)
+	c.coldPacer.start(now)
+	c.namedRate.pacer.start(now)
 	c.inFlight++
 	c.running[r.Urgency]++
 	admittedCount[r.Urgency].Add(1)
@@ -349,14 +353,14 @@
 
 // queueLimit returns the maximum length of the queue: the number of requests
 // that start within fullQueueWait, within bounds. The rate at which they start
-// is the pacer's while it is active, and otherwise follows from the limit and
+// is that of the slowest active pacer, and otherwise follows from the limit and
 // the mean time of a request.
 func (c *Controller) queueLimit() int {
 	if c.config.QueueLimit > 0 {
 		return c.config.QueueLimit
 	}
-	if c.pacer.active(c.now()) {
-		return max(int(c.pacer.rate*fullQueueWait.Seconds()), minQueueLimit)
+	if p := c.slowestPacer(c.now()); p != nil {
+		return max(int(p.rate*fullQueueWait.Seconds()), minQueueLimit)
 	}
 	limit := c.limiter.allowed()
 	upper := max(maxQueueFactor*limit, minQueueLimit)
@@ -435,6 +439,7 @@
 	inFlightGauge.Set(int64(c.inFlight))
 	queuedGauge.Set(int64(c.queue.length))
 	limitGauge.Set(int64(c.limiter.allowed()))
+	namedRateGauge.Set(int64(c.namedRate.pacer.rate))
 }
 
 // countRefusal counts the refusal by its code and returns it.
--- a/internal/admission/metrics.go
+++ b/internal/admission/metrics.go
@@ -14,6 +14,8 @@
 	silentCold   = event.New(901, "silent-cold-start", event.Warn, "Slow or broken requests indicate a cold start that the backend server did not announce. The limit on concurrent requests was lowered to its minimum, unless the mechanism cold-ramp is disabled.")
 	drainStarted = event.New(902, "admission-draining", event.Info, "No new requests are admitted, and queued ones were refused.")
 	zoneChanged  = event.New(903, "admission-zone-changed", event.Info, "The availability zone of this host was taken out of service or restored.")
+
+	namedRateChanged = event.New(904, "admission-rate-named", event.Info, "The backend server on this host began to name a rate of requests that it takes, which is kept from now on, or stopped.")
 )
 
 var (
@@ -26,6 +28,8 @@
 	queuedGauge   = metrics.Int("queued-requests")
 	limitGauge    = metrics.Int("limit-requests")
 	rampCount     = metrics.Int("cold-ramps")
+
+	namedRateGauge = metrics.Int("named-rate-requests-per-second")
 )
 
 func init() {
--- a/internal/admission/state.go
+++ b/internal/admission/state.go
@@ -16,8 +16,8 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	limit := c.limiter.allowed()
-	if c.pacer.active(c.now()) {
-		limit = min(limit, c.pacer.concurrency(c.reserve.mean))
+	if p := c.slowestPacer(c.now()); p != nil {
+		limit = min(limit, p.concurrency(c.reserve.mean))
 	}
 	return Load{
 		InFlight: c.inFlight,
@@ -51,7 +51,7 @@
 // is limited to an announced cold rate, or a ramp has not yet raised the limit
 // to half of the slots.
 func (c *Controller) cold() bool {
-	return c.limiter.cold || c.pacer.active(c.now()) || (c.limiter.ramping && 2*c.limiter.allowed() < c.limiter.slots)
+	return c.limiter.cold || c.coldPacer.active(c.now()) || (c.limiter.ramping && 2*c.limiter.allowed() < c.limiter.slots)
 }
 
 // Drain refuses all queued and new requests. Running requests continue.
--- a/internal/owner/backend.go
+++ b/internal/owner/backend.go
@@ -108,7 +108,11 @@
 		return roundTripError(ctx, err, c.answer.Offered)
 	}
 	defer func() { _ = response.Body.Close() }()
-	if err := o.judge(b, c.request, response); err != nil {
+	err = o.judge(b, c.request, response)
+	if err == nil || verdict.From(err).Code != verdict.AnswerMismatch {
+		o.observeNotice(b, o.config.Codec.Notice(response))
+	}
+	if err != nil {
 		discard(response, err)
 		return err
 	}
--- a/internal/owner/codec.go
+++ b/internal/owner/codec.go
@@ -62,6 +62,8 @@
 	// nil if the response is the request's result. Otherwise it returns an error
 	// whose verdict follows from the response.
 	Judge(r *call.Request, response *http.Response) error
+	// Notice returns what the backend server says of itself in a response.
+	Notice(response *http.Response) Notice
 }
 
 // Judge returns nil if the response is the result of the request, and otherwise an
@@ -98,6 +100,11 @@
 	return CompareEcho(r.RequestID, response.Header.Get(header.RequestID))
 }
 
+// Notice implements Codec.
+func (defaultCodec) Notice(response *http.Response) Notice {
+	return NewNotice(response.Header.Get(header.RateLimit))
+}
+
 // Judge implements Codec.
 func (defaultCodec) Judge(_ *call.Request, response *http.Response) error {
 	if refusal := response.Header.Get(header.Refused); refusal != "" {
--- a/internal/owner/event.go
+++ b/internal/owner/event.go
@@ -10,6 +10,8 @@
 		"The backend server on this host announced itself or changed its announcement.")
 	eventWithdrawn = event.New(801, "backend-withdrawn", event.Warn,
 		"The backend server on this host was withdrawn: it is leaving or has departed, refused a connection, or stopped announcing itself.")
+	eventRateInvalid = event.New(802, "backend-rate-invalid", event.Warn,
+		"The backend server on this host names a rate of requests that is not a number of at least 0; it is ignored. Logged once.")
 )
 
 var (
