Withdraw a backend server that says in its answers that it leaves

Callers saw nothing yet; a request reached a server whose answer had said that it leaves, if its heartbeat was late or lost (DRAIN in its new form). Cause: only heartbeats were read. Change: an answer with the header has the effect of a leaving heartbeat: the server is withdrawn, and later heartbeats of the same instance are stale. Ruled out: a memory of it at every entry; all requests pass the owner. Left: after a restart of the node beside it, the server's own heartbeat or health answer must say that it leaves.

--- a/internal/owner/codec.go
+++ b/internal/owner/codec.go
@@ -102,7 +102,7 @@
 
 // Notice implements Codec.
 func (defaultCodec) Notice(response *http.Response) Notice {
-	return NewNotice(response.Header.Get(header.RateLimit))
+	return NewNotice(response.Header.Get(header.RateLimit), response.Header.Get(header.Leaving))
 }
 
 // Judge implements Codec.
--- a/internal/owner/notice.go
+++ b/internal/owner/notice.go
@@ -14,24 +14,32 @@
 	// callers together, if RateNamed is set.
 	Rate      float64
 	RateNamed bool
+	// Leaving is set if the backend server is shutting down.
+	Leaving bool
 }
 
+// leavingText is the text with which a header states that the backend server leaves.
+const leavingText = "1"
+
 // logInvalidRate logs the first rate that can't be read. A backend server that names
 // such a rate names it in every response.
 var logInvalidRate sync.Once
 
-// NewNotice returns the notice of a response, given the text in which it names a rate.
-// A rate that is not a finite number of at least 0 counts as none.
-func NewNotice(rate string) Notice {
+// NewNotice returns the notice of a response, given the texts in which it names a rate
+// and says that the backend server leaves. A rate that is not a finite number of at least
+// 0 counts as none.
+func NewNotice(rate, leaving string) Notice {
+	n := Notice{Leaving: leaving == leavingText}
 	if rate == "" {
-		return Notice{}
+		return n
 	}
 	value, err := strconv.ParseFloat(rate, 64)
 	if err != nil || !(value >= 0 && value <= math.MaxFloat64) {
 		logInvalidRate.Do(func() { eventRateInvalid.Log(event.Fields{"rate": rate}) })
-		return Notice{}
+		return n
 	}
-	return Notice{Rate: value, RateNamed: true}
+	n.Rate, n.RateNamed = value, true
+	return n
 }
 
 // observeNotice passes on what the backend server b says of itself in a response, unless
@@ -42,6 +50,25 @@
 		return
 	}
 	o.config.Admission.ObserveNamedRate(n.Rate, n.RateNamed)
+	if n.Leaving {
+		o.markLeaving(b)
+	}
+}
+
+// markLeaving withdraws the backend server b, which is leaving, as after a heartbeat that
+// says so. A later heartbeat of the same instance is stale.
+func (o *Owner) markLeaving(b *backend) {
+	o.announceMu.Lock()
+	defer o.announceMu.Unlock()
+	o.mu.Lock()
+	current := o.backend != nil && sameInstance(o.backend, b)
+	if current && o.instance.incarnation == b.announcement.Incarnation && o.instance.startMs == b.startMs {
+		o.instance.leaving = true
+	}
+	o.mu.Unlock()
+	if current {
+		o.Withdraw(b.announcement.Service)
+	}
 }
 
 // sameInstance reports whether both are the same run of a backend server.
