Let the caller of a nested call drop it when its parent is cancelled

Cause: a nested call was cancelled and answered in the moment its parent was, before the backend server, which gives up the parent too, could close it. Class: an answer of our own to someone who is about to leave. Evidence: event 701 'the caller went away' of the call; its parent was the cancelled copy of a request that another host had answered. Ruled out: the shutdown itself; the node was still serving, 2 s before it would refuse. Change: a nested call ends 50 ms after its parent, at the parent's deadline, or when the backend server closes it. Measured: TestNestedCallOfCancelledParentGetsNoAnswer got an answer before and none now; TestNestedCallEndsWithItsParent passes before and after. Conclusion: the backend server's own end of the call comes first.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -38,6 +38,11 @@
 // stages is the registry of the entry's stages.
 var stages kernel.Registry[*Entry, *activeCall]
 
+// callerDropTime is how long after the end of its parent a nested call goes on, so that
+// the backend server can close it. An answer of this node in its place would be taken for
+// a failure of a call that was still running.
+const callerDropTime = 50 * time.Millisecond
+
 // Configuration provides the configuration in force on this node.
 type Configuration interface {
 	Snapshot() *configuration.Snapshot
@@ -282,8 +287,8 @@
 	return parent
 }
 
-// runRoot handles a call without a call token. If it has an inferred parent, it is
-// cancelled when the parent ends, and its outcome is reported to the parent.
+// runRoot handles a call without a call token. If it has an inferred parent, it ends with
+// the parent (see nestedContext), and its outcome is reported to the parent.
 func (e *Entry) runRoot(ctx context.Context, x *activeCall) error {
 	if x.inferredParent == nil {
 		return e.root(ctx, x)
@@ -291,9 +296,8 @@
 	x.request.Repeated = x.inferredParent.Request().Repeated
 	x.request.Progress = x.inferredParent.Progress()
 	defer x.inferredParent.BeginNested()()
-	ctx, cancel := context.WithCancel(ctx)
+	ctx, cancel := nestedContext(ctx, x.inferredParent)
 	defer cancel()
-	defer context.AfterFunc(x.inferredParent.Context(), cancel)()
 	err := e.root(ctx, x)
 	x.reportToParent(x.inferredParent, err)
 	return err
@@ -307,8 +311,8 @@
 	e.writeAnswer(w, x, x.callerError(err))
 }
 
-// runNested handles a call nested in the running call whose token it presents. It is
-// cancelled when the parent ends or the backend server closes the request.
+// runNested handles a call nested in the running call whose token it presents, with which
+// it ends (see nestedContext).
 func (e *Entry) runNested(r *http.Request, x *activeCall) error {
 	parent, ok := e.config.Owner.Parent(callToken(r))
 	if !ok {
@@ -317,14 +321,29 @@
 	}
 	inherit(x, parent)
 	defer parent.BeginNested()()
-	ctx, cancel := context.WithCancel(parent.Context())
+	ctx, cancel := nestedContext(r.Context(), parent)
 	defer cancel()
-	defer context.AfterFunc(r.Context(), cancel)()
 	err := e.nested(ctx, x)
 	x.reportToParent(parent, err)
 	return err
 }
 
+// nestedContext returns the context of a nested call. It ends when the backend server
+// closes the request, whose context is ctx, at the parent's deadline, and callerDropTime
+// after the parent ended otherwise.
+func nestedContext(ctx context.Context, parent *owner.Parent) (context.Context, context.CancelFunc) {
+	deadline, ok := parent.Context().Deadline()
+	if !ok {
+		deadline = time.Now().Add(maxTimeout)
+	}
+	ctx, cancel := context.WithDeadline(ctx, deadline)
+	stop := context.AfterFunc(parent.Context(), func() { time.AfterFunc(callerDropTime, cancel) })
+	return ctx, func() {
+		stop()
+		cancel()
+	}
+}
+
 // inherit sets the properties that a nested call takes over from its parent.
 func inherit(x *activeCall, parent *owner.Parent) {
 	parentRequest := parent.Request()
