Remember that a backend server names requests when its announcement changes

Callers could see: the late copy of another request's answer as their own, if it names no request and the first answer on a connection since the announcement changed (each time a backend server turns warm, for one). Cause: a changed announcement made a new record of the same instance, which had to learn anew that its answers name the request. Class: what is known is lost with a change that has nothing to do with it. Change: the records of one instance share it. The name is also compared once an answer in place of twice. Measured: TestSecondCopyAfterChangedAnnouncement, answered with the first request's answer before, fails as may-have-run now; TestSecondCopies as before. Conclusion: only a new instance is unknown.

--- a/internal/owner/announce.go
+++ b/internal/owner/announce.go
@@ -69,7 +69,7 @@
 }
 
 // setBackend sets the current backend server and reports whether it changed. It keeps
-// the open connections if the instance, address, slots and connection limit are
+// the open connections, and what is known of the instance, if the instance, address, slots and connection limit are
 // unchanged.
 func (o *Owner) setBackend(a Announcement, startMs int64) bool {
 	o.mu.Lock()
@@ -80,7 +80,7 @@
 		return false
 	}
 	if old != nil && old.startMs == startMs && sameConnections(old.announcement, a) {
-		o.backend = &backend{announcement: a, startMs: startMs, transport: old.transport}
+		o.backend = &backend{announcement: a, startMs: startMs, transport: old.transport, echoes: old.echoes}
 		return true
 	}
 	o.backend = newBackend(a, startMs, &o.config)
--- a/internal/owner/answer.go
+++ b/internal/owner/answer.go
@@ -52,11 +52,11 @@
 
 // judge checks that the response is the result of the request; see [Judge].
 func (o *Owner) judge(b *backend, r *call.Request, response *http.Response) error {
-	codec := o.config.Codec
-	if codec.Echo(r, response) == EchoSame {
+	echo := o.config.Codec.Echo(r, response)
+	if echo == EchoSame {
 		b.echoes.Store(true)
 	}
-	err := Judge(codec, r, response, b.echoes.Load())
+	err := Judge(o.config.Codec, r, response, echo, b.echoes.Load())
 	if err != nil && verdict.From(err).Code == verdict.AnswerMismatch {
 		// To net/http a connection is idle after a response without a body, although
 		// the request's own response may follow on it.
--- a/internal/owner/backend.go
+++ b/internal/owner/backend.go
@@ -39,14 +39,16 @@
 	startMs   int64
 	transport *http.Transport
 	// echoes is set once a response has named the request that it answers. From
-	// then on a response that names none is not taken for an answer.
-	echoes atomic.Bool
+	// then on a response that names none is not taken for an answer. All backends of
+	// one instance share it.
+	echoes *atomic.Bool
 }
 
 func newBackend(a Announcement, startMs int64, config *Config) *backend {
 	return &backend{
 		announcement: a,
 		startMs:      startMs,
+		echoes:       new(atomic.Bool),
 		transport: &http.Transport{
 			DialContext:         socket.Dialer(connectTimeout).DialContext,
 			MaxConnsPerHost:     a.Connections,
--- a/internal/owner/codec.go
+++ b/internal/owner/codec.go
@@ -67,11 +67,10 @@
 }
 
 // Judge returns nil if the response is the result of the request, and otherwise an
-// error with a verdict. With echoes set, the backend server has named the request in
-// an earlier response and is expected to do so in all, so that a response without the
-// name is a late copy of another request's.
-func Judge(codec Codec, r *call.Request, response *http.Response, echoes bool) error {
-	echo := codec.Echo(r, response)
+// error with a verdict. Echo says which request the response names. With echoes set, the
+// backend server has named the request in an earlier response and is expected to do so in
+// all, so that a response without the name is a late copy of another request's.
+func Judge(codec Codec, r *call.Request, response *http.Response, echo Echo, echoes bool) error {
 	if echo == EchoOther || (echo == EchoMissing && echoes) {
 		return verdict.New(verdict.MayHaveRun, verdict.AnswerMismatch, "the backend server answered another request")
 	}
--- a/internal/owner/spoiled_test.go
+++ b/internal/owner/spoiled_test.go
@@ -111,6 +111,27 @@
 	}
 }
 
+// TestSecondCopyAfterChangedAnnouncement guards against a late copy taken for an answer once the announcement has changed.
+func TestSecondCopyAfterChangedAnnouncement(t *testing.T) {
+	o, server := rawOwner(t, owner.Config{}, func(c *standin.RawConn) {
+		if answerNamed(c, "") != nil {
+			return
+		}
+		if _, err := c.ReadRequest(); err != nil {
+			return
+		}
+		_ = c.Write(response(200, "", "", "first's"))
+		c.AwaitClose()
+	})
+	var answer call.Answer
+	o.Call(context.Background(), named("first", time.Second), &answer)
+	qt.Assert(t, string(answer.Body), qt.Equals, "first's")
+	o.Announce(owner.Announcement{Service: "peals", Address: server.Address(), Slots: 4, Cold: true})
+	answer = call.Answer{}
+	o.Call(context.Background(), named("second", time.Second), &answer)
+	qt.Assert(t, answer.Err != nil && answer.Err.Verdict == verdict.MayHaveRun, qt.IsTrue, qt.Commentf("answered with %q", answer.Body))
+}
+
 // answerNamed reads a request and responds with its identifier, followed by more.
 func answerNamed(c *standin.RawConn, more string) error {
 	r, err := c.ReadRequest()
