--- a/internal/configuration/source.go
+++ b/internal/configuration/source.go
@@ -197,8 +197,8 @@
 
 // readyFromSource reports whether the node has the configuration of the source or,
 // if the source is unreachable, of its ready peers. While operators have declared none
-// yet, only the first hosts of a zone read the source each time; the others mostly wait
-// for a push.
+// yet, only the first host of a zone reads the source each time; the others mostly wait for
+// a push.
 func (r *Replica) readyFromSource(attempt int) bool {
 	if !r.startSourceFailed && r.watchTimeout() != shortWatch && attempt%startReadInterval != 1 {
 		return r.inForce.Load() > 0
