--- a/internal/entry/parent_test.go
+++ b/internal/entry/parent_test.go
@@ -52,9 +52,9 @@
 	s.ended <- err
 }
 
-// cancelParent has a nestingServer serve a request, cancels it, and returns how the
-// nested call ended and how long after that.
-func cancelParent(t *testing.T, dropAfter time.Duration) (error, time.Duration) {
+// cancelParent has a nestingServer serve a request, cancels it, and returns how long
+// after that the nested call ended, and its error.
+func cancelParent(t *testing.T, dropAfter time.Duration) (time.Duration, error) {
 	s := &nestingServer{dropAfter: dropAfter, running: make(chan struct{}, 1), ended: make(chan error, 1)}
 	backend := httptest.NewServer(s)
 	t.Cleanup(backend.Close)
@@ -85,19 +85,19 @@
 	qt.Assert(t, answer.Err != nil && answer.Err.Code == verdict.Cancelled, qt.IsTrue)
 	cancelled := time.Now()
 	err = <-s.ended
-	return err, time.Since(cancelled)
+	return time.Since(cancelled), err
 }
 
 // TestNestedCallOfCancelledParentGetsNoAnswer guards against an answer of the entry's own to a call that its caller is about to drop.
 func TestNestedCallOfCancelledParentGetsNoAnswer(t *testing.T) {
-	err, _ := cancelParent(t, 10*time.Millisecond)
+	_, err := cancelParent(t, 10*time.Millisecond)
 	qt.Assert(t, err, qt.ErrorIs, context.Canceled)
 }
 
 // TestNestedCallEndsWithItsParent cancels the parent of a nested call whose caller goes on
 // waiting. The nested call must end soon.
 func TestNestedCallEndsWithItsParent(t *testing.T) {
-	err, took := cancelParent(t, 10*time.Second)
+	took, err := cancelParent(t, 10*time.Second)
 	qt.Assert(t, err, qt.IsNil)
 	qt.Assert(t, took < 250*time.Millisecond, qt.IsTrue, qt.Commentf("after %v", took))
 }
