Take over a bucket from the process of a home that was replaced, too

Callers could see: an account above its limit as its home crashes and is back before another host notices: a full bucket each time. Cause: a new bucket was taken over only from another host; a report of a host whose last answer came from the process before, on the same host, left it full. Change: reports state the incarnation of the home's process, answers carry it, and a bucket without any report is always taken over. Conclusion: a process is told from its predecessor.

--- a/internal/tally/account.go
+++ b/internal/tally/account.go
@@ -28,10 +28,11 @@
 	// lastReport is when the last report was sent, lastAnswer when a home last
 	// answered one.
 	lastReport, lastAnswer time.Time
-	// home is the host that gave that answer, "" before the first, and homeLevel the
-	// number of tokens left in the bucket that it stated.
-	home      string
-	homeLevel float64
+	// home is the host that gave that answer, "" before the first, homeIncarnation that
+	// of its process, and homeLevel the number of tokens left that it stated.
+	home            string
+	homeIncarnation uint64
+	homeLevel       float64
 	// nextRetry is the latest retry time given to a refused request.
 	nextRetry time.Time
 	// asking is set while the home is asked for a token. nextAsk is the earliest time
@@ -66,7 +67,7 @@
 func (a *account) spending(now time.Time) Spending {
 	return Spending{
 		Account: a.name, Total: a.total, Unreported: a.total - a.acknowledged, Level: a.level,
-		Home: a.home, HomeLevel: a.homeLevel, HomeAge: now.Sub(a.lastAnswer),
+		Home: a.home, HomeIncarnation: a.homeIncarnation, HomeLevel: a.homeLevel, HomeAge: now.Sub(a.lastAnswer),
 	}
 }
 
@@ -163,10 +164,10 @@
 	return a.spendRate.rate(now) <= a.limit.Rate/float64(max(hosts, 1))/idleDivisor/homeRateExcess
 }
 
-// applyState applies the answer of a home to a report in which this host stated that it
+// applyState applies the answer of a home and its incarnation to a report in which this host stated that it
 // had spent total tokens. Hosts is the number of live hosts.
-func (a *account) applyState(now time.Time, home string, total uint64, s State, hosts int) {
-	a.home, a.homeLevel = home, s.Level
+func (a *account) applyState(now time.Time, home string, incarnation, total uint64, s State, hosts int) {
+	a.home, a.homeIncarnation, a.homeLevel = home, incarnation, s.Level
 	a.hosts = max(hosts, 1)
 	a.lastAnswer = now
 	a.acknowledged = max(a.acknowledged, total)
--- a/internal/tally/bench_test.go
+++ b/internal/tally/bench_test.go
@@ -42,7 +42,7 @@
 			b.ReportAllocs()
 			for i := 0; b.Loop(); i++ {
 				total++
-				m.applyReport(&ReportArgs{Host: names[i%hosts], Incarnation: 1, Spendings: []Spending{{Account: "account", Total: total, Unreported: 1}}})
+				m.handleReport(&ReportArgs{Host: names[i%hosts], Incarnation: 1, Spendings: []Spending{{Account: "account", Total: total, Unreported: 1}}})
 			}
 		})
 	}
--- a/internal/tally/handover_test.go
+++ b/internal/tally/handover_test.go
@@ -86,7 +86,7 @@
 			for _, r := range test.reports {
 				now := start.Add(r.at)
 				b.advance(now, refill)
-				b.adopt(now, "self", r.spending)
+				b.adopt(now, r.spending.Home == "self", r.spending)
 				state = b.applyReport(now, r.host, 1, r.spending)
 			}
 			qt.Assert(t, math.Abs(state.Level-test.level) < 1e-6, qt.IsTrue, qt.Commentf("%f tokens, want %f", state.Level, test.level))
--- a/internal/tally/manager.go
+++ b/internal/tally/manager.go
@@ -294,7 +294,7 @@
 func (m *Manager) report(home quota.Host, args *ReportArgs) (granted bool) {
 	reply := new(ReportReply)
 	if home.ID == m.config.Host {
-		reply.States = m.applyReport(args)
+		*reply = m.handleReport(args)
 	} else if err := m.send(home, args, reply); err != nil {
 		m.avoidHome(home, err)
 		return false
@@ -306,7 +306,7 @@
 		name := args.Spendings[i].Account
 		m.followHome(partitionOf(name), home.ID, state.Primary, now)
 		if a := m.accounts[name]; a != nil {
-			a.applyState(now, home.ID, args.Spendings[i].Total, state, len(m.hosts))
+			a.applyState(now, home.ID, reply.Incarnation, args.Spendings[i].Total, state, len(m.hosts))
 			granted = a.applyGrant(now, state.Granted) || granted
 		}
 	}
@@ -320,8 +320,8 @@
 	return m.config.Peers.Call(ctx, home.Address, ServiceName+".Report", args, reply)
 }
 
-// applyReport applies a report to the buckets of its accounts and returns their states.
-func (m *Manager) applyReport(args *ReportArgs) []State {
+// handleReport applies a report to the buckets of its accounts and returns their states.
+func (m *Manager) handleReport(args *ReportArgs) ReportReply {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	now := m.config.Now()
@@ -338,7 +338,8 @@
 			m.buckets[s.Account] = b
 		}
 		b.advance(now, m.refillRate(b, partitionOf(s.Account), now))
-		taken := b.adopt(now, m.config.Host, s)
+		fromHere := s.Home == m.config.Host && s.HomeIncarnation == m.config.Incarnation
+		taken := b.adopt(now, fromHere, s)
 		states[i] = b.applyReport(now, args.Host, args.Incarnation, s)
 		if primary := m.primaryHomes[partitionOf(s.Account)]; primary.ID != m.config.Host {
 			states[i].Primary = primary
@@ -347,7 +348,7 @@
 			m.logTaken(s, states[i])
 		}
 	}
-	return states
+	return ReportReply{Incarnation: m.config.Incarnation, States: states}
 }
 
 // logTaken logs that this host begins to act as the home of an account. The first host
--- a/internal/tally/message.go
+++ b/internal/tally/message.go
@@ -20,11 +20,12 @@
 	// has no bucket for the account yet and the host knows of no other home.
 	Level float64
 	// Home is the host whose answer the reporting host last applied; "" before the
-	// first answer. HomeLevel is the number of tokens left according to that answer,
-	// and HomeAge the time since then.
-	Home      string
-	HomeLevel float64
-	HomeAge   time.Duration
+	// first answer. HomeIncarnation is that of its process, HomeLevel the number of
+	// tokens left according to that answer, and HomeAge the time since then.
+	Home            string
+	HomeIncarnation uint64
+	HomeLevel       float64
+	HomeAge         time.Duration
 	// Wanted is the number of tokens that the host asks for in addition, for
 	// requests that it would otherwise refuse.
 	Wanted uint64
@@ -54,8 +55,13 @@
 	Primary quota.Host
 }
 
-// ReportReply holds the state of each account in the report, in the same order.
-type ReportReply struct{ States []State }
+// ReportReply answers ReportArgs.
+type ReportReply struct {
+	// Incarnation is that of the home's process.
+	Incarnation uint64
+	// States holds the state of each account in the report, in the same order.
+	States []State
+}
 
 // RPC is the net/rpc receiver for the messages of other hosts.
 type RPC struct{ manager *Manager }
@@ -65,6 +71,6 @@
 
 // Report handles the report of a host.
 func (r *RPC) Report(args *ReportArgs, reply *ReportReply) error {
-	reply.States = r.manager.applyReport(args)
+	*reply = r.manager.handleReport(args)
 	return nil
 }
--- a/internal/tally/restart_test.go
+++ b/internal/tally/restart_test.go
@@ -325,3 +325,34 @@
 	}
 	return f.hosts[1].ID
 }
+
+// TestHomeThatRestartsAtOnceAddsNoTokens guards against a full bucket at a home whose process was replaced unnoticed.
+func TestHomeThatRestartsAtOnceAddsNoTokens(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		limit := quota.Limit{Rate: 100, Burst: 100}
+		f := newRestartingFleet(ctx, 12, limit, 1)
+		f.spendFor(400, 5*time.Second)
+		home := f.managers["host-0"].home(partitionOf("account"), time.Now())
+		go func() {
+			for range 5 {
+				f.mu.Lock()
+				f.stop[home.ID]()
+				f.start(home)
+				for _, h := range f.hosts {
+					f.live[home.ID][h.ID] = true
+				}
+				f.mu.Unlock()
+				f.tell(home.ID, home.ID, true, false)
+				time.Sleep(time.Second)
+			}
+		}()
+		allowed, _ := f.spendFor(400, 5*time.Second)
+		bound := (limit.Rate*window.Seconds()+limit.Burst)*overage + slack
+		t.Logf("%d requests in 5 s, bound %.0f", len(allowed), bound)
+		qt.Check(t, float64(len(allowed)) <= bound, qt.IsTrue)
+		cancel()
+		time.Sleep(time.Second) // Wait for reports in flight.
+	})
+}
--- a/internal/tally/takeover.go
+++ b/internal/tally/takeover.go
@@ -18,17 +18,17 @@
 }
 
 // adopt corrects the level by what a host reports of the home to which it reported
-// before, since this host, self, does not know what was spent there. It returns true if
-// self begins to act as the home.
-func (b *bucket) adopt(now time.Time, self string, s Spending) (taken bool) {
+// before, since this process does not know what was spent there. FromHere is set if it
+// was that home itself. It returns true if this process begins to act as the home.
+func (b *bucket) adopt(now time.Time, fromHere bool, s Spending) (taken bool) {
 	switch {
-	case s.Home != self && b.silent(now):
+	case b.lastReport.IsZero() || !fromHere && b.silent(now):
 		b.takeOver(now, s)
 		return true
 	case s.Home == "":
 	case b.takeover.uncertain:
 		b.settle(now, s)
-	case s.Home == self:
+	case fromHere:
 	case now.Sub(b.takeover.at) <= handoverTime:
 		b.deductElsewhere(now, s)
 	default:
