Guard what the tests of restarting hosts share between goroutines

Both are guarded now; checks, bounds and seeds are as they were, the numbers drawn differ. Measured: go test -race ./internal/tally passes (40 s).

--- a/internal/tally/restart_test.go
+++ b/internal/tally/restart_test.go
@@ -75,10 +75,17 @@
 	go func() { _ = m.Run(ctx) }()
 }
 
+// drawn returns a random number below n.
+func (f *restartingFleet) drawn(n int) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.random.IntN(n)
+}
+
 // tellAll has each host learn of the state of h within a random part of the time delay.
 func (f *restartingFleet) tellAll(h quota.Host, live, leaving bool, delay time.Duration) {
 	for _, other := range f.hosts {
-		wait := time.Duration(f.random.Float64() * float64(delay))
+		wait := time.Duration(f.drawn(int(delay) + 1))
 		if other.ID == h.ID {
 			wait = 0
 		}
@@ -165,7 +172,7 @@
 		default:
 		}
 		time.Sleep(time.Duration(float64(time.Second) / perSecond))
-		m := f.manager(f.hosts[f.random.IntN(len(f.hosts))].ID)
+		m := f.manager(f.hosts[f.drawn(len(f.hosts))].ID)
 		if m == nil {
 			continue
 		}
@@ -238,7 +245,7 @@
 		limit := quota.Limit{Rate: 100, Burst: 100}
 		f := newRestartingFleet(ctx, 3, limit, 1)
 		f.spendFor(400, 5*time.Second)
-		home := f.managers["host-0"].home(partitionOf("account"), time.Now())
+		home := f.homeOf("host-0")
 		f.tellAll(home, true, true, 0)
 		allowed, _ := f.spendFor(400, 5*time.Second)
 		bound := (limit.Rate*window.Seconds()+limit.Burst)*overage + slack
@@ -254,19 +261,15 @@
 		ctx, cancel := context.WithCancel(t.Context())
 		defer cancel()
 		f := newRestartingFleet(ctx, 12, quota.Limit{Rate: 100, Burst: 100}, 1)
-		p := partitionOf("account")
 		f.spendFor(400, time.Second)
-		home := f.managers["host-0"].home(p, time.Now())
+		home := f.homeOf("host-0")
 		f.mu.Lock()
 		ended := f.managers[home.ID]
 		delete(f.managers, home.ID)
 		f.mu.Unlock()
 		f.stop[home.ID]()
 		f.spendFor(400, 500*time.Millisecond)
-		homes := make(map[string]int)
-		for _, m := range f.managers {
-			homes[m.home(p, time.Now()).ID]++
-		}
+		homes := f.homes()
 		qt.Check(t, homes, qt.HasLen, 1, qt.Commentf("homes of the hosts: %v", homes))
 		cancel()
 		_ = ended.Close()
@@ -287,14 +290,13 @@
 				defer cancel()
 				limit := quota.Limit{Rate: 100, Burst: 100}
 				f := newRestartingFleet(ctx, 12, limit, 1)
-				p := partitionOf("account")
-				first := f.managers["host-0"].home(p, time.Now())
+				first := f.homeOf("host-0")
 				if !test.leaving {
 					f.tellAll(first, false, false, 0)
 					time.Sleep(time.Millisecond)
 					f.tell(first.ID, first.ID, true, false)
 				}
-				other := f.managers[f.otherThan(first)].home(p, time.Now())
+				other := f.homeOf(f.otherThan(first))
 				f.spendFor(400, 5*time.Second)
 				// Half of the hosts hear of the change, the home before among them.
 				for i, h := range f.hosts {
@@ -306,10 +308,7 @@
 				bound := (limit.Rate*window.Seconds()+limit.Burst)*overage + slack
 				t.Logf("%d requests in 5 s, bound %.0f", len(allowed), bound)
 				qt.Check(t, float64(len(allowed)) <= bound, qt.IsTrue)
-				homes := make(map[string]int)
-				for _, m := range f.managers {
-					homes[m.home(p, time.Now()).ID]++
-				}
+				homes := f.homes()
 				qt.Check(t, homes, qt.HasLen, 1, qt.Commentf("homes of the hosts: %v", homes))
 				cancel()
 				time.Sleep(time.Second) // Wait for reports in flight.
@@ -318,6 +317,25 @@
 	}
 }
 
+// homeOf returns the account's home in the view of a host.
+func (f *restartingFleet) homeOf(host string) quota.Host {
+	m := f.manager(host)
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.home(partitionOf("account"), time.Now())
+}
+
+// homes counts for each host how many take it for the account's home.
+func (f *restartingFleet) homes() map[string]int {
+	homes := make(map[string]int)
+	for _, h := range f.hosts {
+		if f.manager(h.ID) != nil {
+			homes[f.homeOf(h.ID).ID]++
+		}
+	}
+	return homes
+}
+
 // otherThan returns the ID of a host other than h.
 func (f *restartingFleet) otherThan(h quota.Host) string {
 	if f.hosts[0].ID != h.ID {
@@ -334,7 +352,7 @@
 		limit := quota.Limit{Rate: 100, Burst: 100}
 		f := newRestartingFleet(ctx, 12, limit, 1)
 		f.spendFor(400, 5*time.Second)
-		home := f.managers["host-0"].home(partitionOf("account"), time.Now())
+		home := f.homeOf("host-0")
 		go func() {
 			for range 5 {
 				f.mu.Lock()
