Send the answers in progress before a stopping node closes its peer connections

What callers saw: a call whose answer was ready, or about to be, at a node that had been asked to stop could end with 502, since its entry lost the connection.

Cause: Server.Close closed the connections of other nodes first and waited for the calls in progress afterwards. A call gives its permit back before its answer is written, so the node's wait for running calls doesn't cover the writing.

The server now makes its connections unreadable. net/rpc then reads no further call, waits for those that it has read, and closes the connection after their answers. What is still running after 300 ms is cut as before.

Evidence: TestCloseSendsAnswersInProgress failed before ("exchange broken: unexpected EOF"). TestCloseCutsLateCalls bounds the wait.

Ruled out: giving the permit back after the answer is written; net/rpc doesn't tell when that is, and the limiter needs the moment at which the backend server is free.

--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -125,6 +125,43 @@
 	receiver.entered <- struct{}{}
 }
 
+// TestCloseSendsAnswersInProgress guards against a stop that cuts the connection of a call that is about to be answered.
+func TestCloseSendsAnswersInProgress(t *testing.T) {
+	receiver := &echo{entered: make(chan struct{})}
+	address, server := serve(t, new(recordedGenerations), receiver)
+	pool := newPool(t, secret, new(recordedGenerations))
+	answered := make(chan error, 1)
+	go func() { answered <- pool.Call(context.Background(), address, "Echo.Hang", &Text{}, &Text{}) }()
+	<-receiver.entered
+	closed := make(chan error, 1)
+	go func() { closed <- server.Close() }()
+	time.Sleep(50 * time.Millisecond)
+	receiver.entered <- struct{}{}
+	qt.Check(t, <-answered, qt.IsNil)
+	qt.Check(t, <-closed, qt.IsNil)
+}
+
+// TestCloseCutsLateCalls checks that Close does not leave the connection of a call open
+// that goes on.
+func TestCloseCutsLateCalls(t *testing.T) {
+	receiver := &echo{entered: make(chan struct{})}
+	address, server := serve(t, new(recordedGenerations), receiver)
+	pool := newPool(t, secret, new(recordedGenerations))
+	answered := make(chan error, 1)
+	go func() { answered <- pool.Call(context.Background(), address, "Echo.Hang", &Text{}, &Text{}) }()
+	<-receiver.entered
+	closed := make(chan error, 1)
+	go func() { closed <- server.Close() }()
+	select {
+	case err := <-answered:
+		qt.Check(t, errors.Is(err, peer.ErrBroken), qt.IsTrue)
+	case <-time.After(2 * time.Second):
+		t.Error("the connection is still open after 2 s")
+	}
+	receiver.entered <- struct{}{}
+	qt.Check(t, <-closed, qt.IsNil)
+}
+
 // TestInvalidHandshakes connects with clients that do not complete the handshake.
 // The server must close their connections and continue to serve other nodes.
 func TestInvalidHandshakes(t *testing.T) {
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -6,12 +6,17 @@
 	"net"
 	"net/rpc"
 	"sync"
+	"time"
 
 	"github.com/sourcegraph/conc"
 
 	"curranthold.example/curranthold/internal/event"
 )
 
+// closeTimeout bounds how long Server.Close leaves open the connections of calls in
+// progress.
+const closeTimeout = 300 * time.Millisecond
+
 // GenerationTracker supplies this node's configuration generation, which is sent
 // with every frame, and is told the generations received from other nodes.
 type GenerationTracker interface {
@@ -107,8 +112,8 @@
 	delete(s.conns, conn)
 }
 
-// Close stops accepting connections, closes those that are open and waits for the
-// calls in progress.
+// Close stops accepting connections and calls, and waits for the calls in progress. Their
+// answers are still sent if they are ready within closeTimeout.
 func (s *Server) Close() error {
 	s.mu.Lock()
 	s.closed = true
@@ -116,9 +121,21 @@
 		_ = s.listener.Close()
 	}
 	for conn := range s.conns {
-		_ = conn.Close()
+		// A connection from which nothing more can be read is closed once the calls
+		// that were read from it are answered.
+		_ = conn.SetReadDeadline(time.Now())
 	}
 	s.mu.Unlock()
+	timer := time.AfterFunc(closeTimeout, s.closeConns)
+	defer timer.Stop()
 	s.wg.Wait()
 	return nil
 }
+
+func (s *Server) closeConns() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for conn := range s.conns {
+		_ = conn.Close()
+	}
+}
