Serve the nested calls of a call that a stopping node still runs

What callers saw: a call that ran at the backend server of a stopping host lost its work. Its nested calls got 503 from the end of the notice period on, and a refused connection 0.5 s later, although the node waited until the shutdown time for the call.

Cause: where backend servers pass on no call tokens, nested calls arrive at the caller address. The node refused all calls there, and closed the listener before it waited for the backend server's calls.

While it leaves, a node now serves the calls whose parent runs on this host, and it keeps the caller listener open until the backend server's calls have ended, at most for the shutdown time. Other callers get the answer "leaving" that long, where the connection was refused before; both let them go to another node at once.

Evidence: TestPathNestedCallsOfRunningCall got status 503 in the refusal period and no answer after it; both are 200 now. TestPathStopsInTime passes.

Ruled out: a second listener for nested calls; backend servers know one address.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -237,10 +237,19 @@
 	})
 }
 
-// LeavingHandler returns the handler that refuses calls from callers while this node
-// shuts down.
+// LeavingHandler returns the handler for calls from callers while this node shuts down.
+// It serves calls with an inferred parent, since a call that still runs on this host
+// needs them, and refuses all others.
 func (e *Entry) LeavingHandler() http.Handler {
-	return e.refuse(verdict.New(verdict.NotRun, verdict.Leaving, "this node leaves; call another"))
+	refusal := e.refuse(verdict.New(verdict.NotRun, verdict.Leaving, "this node leaves; call another"))
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		meta, _ := e.config.Codec.Read(r) // serveRoot reports an invalid header.
+		if e.findInferredParent(meta.Parent) != nil {
+			e.serveRoot(w, r)
+			return
+		}
+		refusal.ServeHTTP(w, r)
+	})
 }
 
 // UnreadyHandler returns the handler that refuses calls from callers until this node
--- a/internal/node/drain.go
+++ b/internal/node/drain.go
@@ -29,8 +29,8 @@
 	// callers send no further request on a connection. Later, when the server closes
 	// idle connections, it could lose such a request.
 	drainServing
-	// drainRefusing refuses calls, so that callers use other nodes before the
-	// listener is closed.
+	// drainRefusing refuses calls, except for those nested in a call that runs on this
+	// host, so that callers use other nodes before the listener is closed.
 	drainRefusing
 )
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -28,8 +28,8 @@
 )
 
 const (
-	// refusalPeriod is how long a leaving node refuses calls before it closes the
-	// caller listener.
+	// refusalPeriod is how long, at least, a leaving node refuses calls before it closes
+	// the caller listener.
 	refusalPeriod = 500 * time.Millisecond
 	// closeTimeout bounds the graceful shutdown of the HTTP servers, which wait for
 	// their connections to become idle.
@@ -280,7 +280,9 @@
 }
 
 // leave announces to the other nodes that this node is leaving, serves calls for
-// the notice period, then refuses new calls and waits for the running ones.
+// the notice period, then refuses new calls and waits for the running ones. The caller
+// listener stays open until the backend server's calls have ended, since these may have
+// nested calls.
 func (n *Node) leave(callers *http.Server, calls *drainHandler) {
 	eventLeaving.Log(event.Fields{"host": n.settings.Host})
 	ctx, cancel := context.WithTimeout(context.Background(), n.settings.ShutdownTimeout())
@@ -291,15 +293,15 @@
 	n.admission.Drain()
 	calls.setState(drainRefusing)
 	sleep(ctx, refusalPeriod)
-	n.listeners.caller.drainBacklog()
-	if err := callers.Shutdown(ctx); err != nil {
-		eventShutdownCutShort.Log(event.Fields{"error": err.Error()})
-	}
 	select {
 	case <-n.admission.Idle():
 	case <-ctx.Done():
 		eventShutdownCutShort.Log(event.Fields{"error": "calls were still running"})
 	}
+	n.listeners.caller.drainBacklog()
+	if err := callers.Shutdown(ctx); err != nil {
+		eventShutdownCutShort.Log(event.Fields{"error": err.Error()})
+	}
 }
 
 func sleep(ctx context.Context, d time.Duration) {
