Keep the configuration in force when the source holds an older one

Cause: hosts ordered configurations by the store's versions alone. If the store comes back from an older copy, its versions soon pass those in force, and the older document was applied as a removal of parts, which does not raise the version of the rest. Callers would have been served by routes and keys that operators had already replaced.

Change: the configuration carries the number that operators give their document and that a restore does not change. A host that started from the older copy is told the later document by its peers: these keep their objects under a generation above its own (event 511). FetchReply has one field more; an older build leaves it 0, which means unknown.

Ruled out: ordering by that number alone, since zones out of service have none.

Evidence: TestOlderCopyOfTheSourceIsNotPutInForce.

--- a/internal/configuration/change.go
+++ b/internal/configuration/change.go
@@ -6,6 +6,7 @@
 	"maps"
 
 	"curranthold.example/curranthold/internal/audit"
+	"curranthold.example/curranthold/internal/event"
 	"curranthold.example/curranthold/pkg/object"
 )
 
@@ -133,16 +134,25 @@
 	if err != nil {
 		return s, err
 	}
+	snapshot.revision = s.snapshot.revision
 	next.snapshot = snapshot
 	return next, nil
 }
 
 // replace returns a state with the given full snapshot, or s itself if the snapshot is
-// not later.
+// not later. If the snapshot has a later generation but operators declared it earlier,
+// the state keeps the objects that it has, with a generation above that of the snapshot,
+// so that hosts with the older objects fetch these.
 func (s *state) replace(full *Snapshot) *state {
 	if full.generation <= s.snapshot.generation {
 		return s
 	}
+	if full.isOlderThan(s.snapshot) {
+		eventOlderRefused.Log(event.Fields{
+			"generation": full.generation, "revision": full.revision, "in-force": s.snapshot.revision,
+		})
+		return newState(s.snapshot.withGeneration(full.generation + 1))
+	}
 	return newState(full)
 }
 
--- a/internal/configuration/event.go
+++ b/internal/configuration/event.go
@@ -13,4 +13,6 @@
 	eventSnapshotFailed    = event.New(507, "configuration-snapshot-failed", event.Warn, "A full snapshot could not be written to the object store.")
 	eventOutcomeUnknown    = event.New(508, "configuration-outcome-unknown", event.Warn, "The response to a commit was lost; the node reads the operation's row to find out whether the commit took effect.")
 	eventCaughtUp          = event.New(509, "configuration-caught-up", event.Info, "The node fetched a full snapshot of the configuration, since it was far behind or follows a configuration source.")
+	eventSourceOlder       = event.New(510, "configuration-source-older", event.Warn, "The configuration source holds a configuration that operators declared before the one in force, for example because the store came back from an older copy. The node keeps the one in force until operators have declared it again or declared a later one.")
+	eventOlderRefused      = event.New(511, "configuration-older-refused", event.Warn, "A peer has a configuration with a later generation that operators declared before the one in force, for example a host that started from a store's older copy. The node keeps the one in force under a generation above the peer's.")
 )
--- a/internal/configuration/pull.go
+++ b/internal/configuration/pull.go
@@ -142,7 +142,7 @@
 func (r *Replica) fetchAllObjects(ctx context.Context, address string) error {
 	metricSnapshotsFetched.Add(1)
 	objects := map[object.ID]object.Object{}
-	var generation uint64
+	var generation, revision uint64
 	for args := (FetchArgs{}); ; {
 		reply, err := r.fetchPage(ctx, address, args)
 		if err != nil {
@@ -151,13 +151,13 @@
 		if generation != 0 && reply.Generation != generation {
 			return errGenerationChanged
 		}
-		generation = reply.Generation
+		generation, revision = reply.Generation, reply.Revision
 		page := Change{Generation: generation, Entries: reply.Entries}
 		if err := page.applyTo(objects); err != nil {
 			return err
 		}
 		if !reply.More || len(reply.Entries) == 0 {
-			return r.submitSnapshot(ctx, generation, objects)
+			return r.submitSnapshot(ctx, generation, revision, objects)
 		}
 		args.After = reply.Entries[len(reply.Entries)-1].ID
 	}
--- a/internal/configuration/replica.go
+++ b/internal/configuration/replica.go
@@ -56,6 +56,9 @@
 	// startSourceFailed is set if the last read of the source before the node was
 	// ready failed. Only runStartup uses it.
 	startSourceFailed bool
+	// olderRevision is the last revision of the source that was refused because a later
+	// one is in force.
+	olderRevision atomic.Uint64
 	// upstreamReachable is set unless the last attempt to read the table or source
 	// failed.
 	upstreamReachable atomic.Bool
--- a/internal/configuration/rpc.go
+++ b/internal/configuration/rpc.go
@@ -126,14 +126,17 @@
 // FetchReply holds one page of the objects of a generation, in order of ID.
 type FetchReply struct {
 	Generation uint64
-	Entries    []Entry
-	More       bool
+	// Revision is the operators' own number of the configuration, 0 if unknown.
+	Revision uint64
+	Entries  []Entry
+	More     bool
 }
 
 // Fetch returns one page of the full snapshot.
 func (p *RPC) Fetch(args *FetchArgs, reply *FetchReply) error {
 	snapshot := p.replica.Snapshot()
 	reply.Generation = snapshot.generation
+	reply.Revision = snapshot.revision
 	ids := snapshot.ids()
 	from, found := slices.BinarySearchFunc(ids, args.After, compareIDs)
 	if found {
--- a/internal/configuration/snapshot.go
+++ b/internal/configuration/snapshot.go
@@ -22,11 +22,14 @@
 // objects. The zero Snapshot is the empty configuration of generation 0.
 type Snapshot struct {
 	generation uint64
-	objects    map[object.ID]object.Object
-	accounts   map[string]object.ClientAccountSpec
-	services   map[string]object.ServiceSpec
-	zones      map[string]object.AvailabilityZoneSpec
-	keys       map[string]*keyEntry
+	// revision is the operators' own number of the configuration, 0 if unknown. It stays
+	// the same when a source comes back from an older copy.
+	revision uint64
+	objects  map[object.ID]object.Object
+	accounts map[string]object.ClientAccountSpec
+	services map[string]object.ServiceSpec
+	zones    map[string]object.AvailabilityZoneSpec
+	keys     map[string]*keyEntry
 	// digests maps the digest of each client key that was generated outside this
 	// system, so that only its digest is known, to its client account.
 	digests map[string]string
@@ -109,6 +112,18 @@
 // increases by one with each accepted operation; a [Source] may skip numbers.
 func (s *Snapshot) Generation() uint64 { return s.generation }
 
+// isOlderThan reports whether operators declared s before other.
+func (s *Snapshot) isOlderThan(other *Snapshot) bool {
+	return s.revision != 0 && s.revision < other.revision
+}
+
+// withGeneration returns a copy of the snapshot with another generation.
+func (s *Snapshot) withGeneration(generation uint64) *Snapshot {
+	renumbered := *s
+	renumbered.generation = generation
+	return &renumbered
+}
+
 // Authenticate returns the client account of the client key that a caller presented.
 // The error is a [verdict.Error] with verdict NotRun and code KeyMissing or
 // KeyRefused; it does not say whether the key is unknown, wrong or withdrawn.
--- a/internal/configuration/source.go
+++ b/internal/configuration/source.go
@@ -14,6 +14,10 @@
 // configuration. The node keeps the last one that it could read.
 var ErrInvalidSource = errors.New("configuration: the source holds no valid configuration")
 
+// errSourceOlder means that operators declared the configuration in the source before the
+// one in force.
+var errSourceOlder = errors.New("configuration: the source is older than the configuration in force")
+
 const (
 	// watchHosts is the number of hosts of a zone that watch the source. The
 	// first shortWatchHosts of them use shortWatch, the others longWatch.
@@ -44,6 +48,9 @@
 	// Generation is the highest version of any part. Removing a part does not raise
 	// it.
 	Generation uint64
+	// Revision is the number that operators gave the configuration, 0 if unknown. It
+	// rises with each change that they declare.
+	Revision uint64
 	// AsOf is the version of the source at the time of the read.
 	AsOf    uint64
 	Objects []object.Object
@@ -165,7 +172,11 @@
 		return declared.AsOf, true
 	}
 	declared.Generation = max(declared.Generation, atLeast)
-	if err := r.applyDeclared(ctx, declared); err != nil {
+	err = r.applyDeclared(ctx, declared)
+	if errors.Is(err, errSourceOlder) {
+		return 0, false
+	}
+	if err != nil {
 		eventChangeUndecodable.Log(event.Fields{"generation": before, "error": err.Error()})
 		return declared.AsOf, true
 	}
@@ -176,7 +187,8 @@
 	return declared.AsOf, true
 }
 
-// applyDeclared applies a declared configuration unless the node already has it.
+// applyDeclared applies a declared configuration unless the node already has it. It
+// returns errSourceOlder if operators declared the one in force later.
 // Removing a part does not raise Declared.Generation, so that it may be no higher than
 // the node's generation although the objects differ. In that case AsOf becomes the
 // generation.
@@ -186,13 +198,21 @@
 		objects[o.ID()] = o
 	}
 	current := r.Snapshot()
+	if declared.Revision != 0 && declared.Revision < current.revision {
+		if r.olderRevision.Swap(declared.Revision) != declared.Revision {
+			eventSourceOlder.Log(event.Fields{
+				"generation": declared.Generation, "revision": declared.Revision, "in-force": current.revision,
+			})
+		}
+		return errSourceOlder
+	}
 	if declared.Generation <= current.generation {
 		if declared.AsOf <= current.generation || reflect.DeepEqual(current.objects, objects) {
 			return nil
 		}
 		declared.Generation = declared.AsOf
 	}
-	return r.submitSnapshot(ctx, declared.Generation, objects)
+	return r.submitSnapshot(ctx, declared.Generation, declared.Revision, objects)
 }
 
 // readyFromSource reports whether the node has the configuration of the source or,
--- /dev/null
+++ b/internal/configuration/source_restored_test.go
@@ -0,0 +1,180 @@
+package configuration
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"curranthold.example/curranthold/internal/platform"
+	"curranthold.example/curranthold/pkg/object"
+)
+
+// sourceInForce is the maximum time in which a declared configuration must be in force on
+// every host.
+const sourceInForce = 2 * time.Second
+
+// settledAfterStart is the maximum time after its start in which a host must have the
+// configuration of the others.
+const settledAfterStart = 3 * time.Second
+
+// storeCopy is the content of a store at one time.
+type storeCopy struct {
+	// version is the store's version, and declaredAt that of the declared configuration.
+	version, declaredAt uint64
+	revision            uint64
+}
+
+// restorableStore is a store that can come back from an older copy. Its configuration
+// consists of one service, which is named after the revision.
+type restorableStore struct {
+	mu      sync.Mutex
+	content storeCopy
+	down    bool
+	changed chan struct{}
+}
+
+func newRestorableStore() *restorableStore {
+	return &restorableStore{changed: make(chan struct{})}
+}
+
+// update changes the store and wakes those that watch it.
+func (s *restorableStore) update(change func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	change()
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+func (s *restorableStore) declare(revision uint64) {
+	s.update(func() {
+		s.content.version++
+		s.content.declaredAt = s.content.version
+		s.content.revision = revision
+	})
+}
+
+// writeUnrelated adds n versions that do not concern the configuration.
+func (s *restorableStore) writeUnrelated(n uint64) {
+	s.update(func() { s.content.version += n })
+}
+
+func (s *restorableStore) setDown(down bool) { s.update(func() { s.down = down }) }
+
+func (s *restorableStore) copy() storeCopy {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.content
+}
+
+// restore takes the store down for a second, after which it has the content of the copy.
+func (s *restorableStore) restore(from storeCopy) {
+	s.setDown(true)
+	time.Sleep(time.Second)
+	s.update(func() { s.content, s.down = from, false })
+}
+
+func (s *restorableStore) state() (content storeCopy, changed chan struct{}, err error) {
+	time.Sleep(sourceLatency)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.down {
+		return s.content, nil, platform.ErrUnavailable
+	}
+	return s.content, s.changed, nil
+}
+
+func serviceOf(revision uint64) object.ID {
+	return object.ID{Kind: object.KindService, Name: fmt.Sprintf("peals-%d", revision)}
+}
+
+// Read implements Source.
+func (s *restorableStore) Read(context.Context) (Declared, bool, error) {
+	c, _, err := s.state()
+	if err != nil {
+		return Declared{}, false, err
+	}
+	service := object.Object{Kind: object.KindService, Metadata: object.Metadata{Name: serviceOf(c.revision).Name}, Spec: object.ServiceSpec{}}
+	return Declared{
+		Generation: c.declaredAt, Revision: c.revision, AsOf: c.version, Objects: []object.Object{service},
+	}, c.declaredAt > 0, nil
+}
+
+// Watch implements Source.
+func (s *restorableStore) Watch(ctx context.Context, asOf uint64, wait time.Duration) (changed, next uint64, err error) {
+	timeout := time.After(wait)
+	for {
+		c, changes, err := s.state()
+		switch {
+		case err != nil:
+			return 0, 0, err
+		case c.version < asOf:
+			return 0, 0, platform.ErrHistoryLost
+		case c.declaredAt > asOf:
+			return c.declaredAt, c.version, nil
+		}
+		select {
+		case <-ctx.Done():
+			return 0, 0, ctx.Err()
+		case <-timeout:
+			return 0, c.version, nil
+		case <-changes:
+		}
+	}
+}
+
+// restorableFleet starts hosts of two zones that follow the store, and returns them once
+// all are ready.
+func restorableFleet(t *testing.T, store *restorableStore) *fleet {
+	f := newFleet(t, 2, 6)
+	f.source = func(Host) Source { return store }
+	f.startAll()
+	return f
+}
+
+// checkRevision checks that all hosts have the configuration of a revision in force.
+func (f *fleet) checkRevision(t *testing.T, revision uint64) {
+	t.Helper()
+	for i, h := range f.hosts {
+		snapshot := f.replica(i).Snapshot()
+		_, found := snapshot.Object(serviceOf(revision))
+		qt.Check(t, found, qt.IsTrue, qt.Commentf("%s at generation %d", h.ID, snapshot.Generation()))
+	}
+}
+
+// TestOlderCopyOfTheSourceIsNotPutInForce guards against a configuration that goes back
+// because its store did.
+func TestOlderCopyOfTheSourceIsNotPutInForce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := newRestorableStore()
+		store.writeUnrelated(10)
+		store.declare(3)
+		older := store.copy()
+		f := restorableFleet(t, store)
+		defer f.stopAll()
+		store.declare(7)
+		time.Sleep(sourceInForce)
+		f.checkRevision(t, 7)
+
+		store.restore(older)
+		for range 5 {
+			store.writeUnrelated(3)
+			time.Sleep(time.Second)
+			f.checkRevision(t, 7)
+		}
+		f.start(f.hosts[3])
+		store.writeUnrelated(3)
+		time.Sleep(settledAfterStart)
+		f.checkRevision(t, 7)
+
+		store.declare(7)
+		store.declare(8)
+		time.Sleep(sourceInForce)
+		f.checkRevision(t, 8)
+	})
+}
--- a/internal/configuration/table.go
+++ b/internal/configuration/table.go
@@ -140,7 +140,7 @@
 			return err
 		}
 	}
-	return r.submitSnapshot(ctx, last, objects)
+	return r.submitSnapshot(ctx, last, 0, objects)
 }
 
 // applyRecords applies the changes up to generation last to objects, and returns
@@ -190,14 +190,16 @@
 	return r.config.Table.List(ctx, objectPrefix, after, listLimit)
 }
 
-// submitSnapshot compiles a full snapshot from the objects and submits it.
-func (r *Replica) submitSnapshot(ctx context.Context, generation uint64, objects map[object.ID]object.Object) error {
+// submitSnapshot compiles a full snapshot from the objects and submits it. Revision is 0 if
+// it is unknown.
+func (r *Replica) submitSnapshot(ctx context.Context, generation, revision uint64, objects map[object.ID]object.Object) error {
 	snapshot, err := compile(generation, objects, r.Snapshot())
 	if err != nil {
 		eventChangeUndecodable.Log(event.Fields{"generation": generation, "error": err.Error()})
 		return err
 	}
-	eventCaughtUp.Log(event.Fields{"generation": generation, "objects": len(objects)})
+	snapshot.revision = revision
+	eventCaughtUp.Log(event.Fields{"generation": generation, "revision": revision, "objects": len(objects)})
 	return r.submit(ctx, update{replacement: snapshot})
 }
 
@@ -230,7 +232,7 @@
 		objects[o.ID()] = o
 	}
 	metricSnapshotsFetched.Add(1)
-	_ = r.submitSnapshot(ctx, full.Generation, objects) // The caller reads what is missing from the table.
+	_ = r.submitSnapshot(ctx, full.Generation, 0, objects) // The caller reads what is missing from the table.
 }
 
 // TableGeneration reads the current generation from the table.
