Order versions of a store that came back from an older copy by its era

Cause: hosts took the store's versions for generations of the configuration, which never go back. After a restore a change that operators declared had a version that was in force already, or a lower one: the feed reported it, and no host read or applied it.

Change: the header that counts how often the store came back is read with each response. A generation is made of the era and the version, so that those of a later era are higher; in the first era nothing changes. A watch after a version of an earlier era is answered as one whose history is lost, and the host reads again. Event 512 tells that the era has risen.

Ruled out: numbering changes at the hosts, which would give one number to two contents where zones read the store at different times.

Evidence, without the era in the generation: TestChangeAfterRestoreIsPutInForce fails in "versions far behind" (generation 42 stays in force for all four changes) and TestSecondRestore fails on most hosts; both pass now, as does TestSourceRestored.

--- /dev/null
+++ b/internal/configuration/era.go
@@ -0,0 +1,20 @@
+package configuration
+
+// eraSpan is the number of generations in one era of a source. It exceeds the versions
+// that a store gives out in its lifetime, and shows the era in logged generations.
+const eraSpan = 1_000_000_000_000
+
+// NewGeneration returns the generation for a version of a source's store in an era. A
+// store starts in era 1. Each time it comes back from an older copy, its era rises by
+// one and its versions go back. Generations of a later era are higher than all earlier
+// ones. Era 0 stands for a store that states none.
+func NewGeneration(era, version uint64) uint64 {
+	return (max(era, 1)-1)*eraSpan + version
+}
+
+// Era returns the era of a generation.
+func Era(generation uint64) uint64 { return generation/eraSpan + 1 }
+
+// VersionInEra returns the version of the source's store from which a generation was
+// made.
+func VersionInEra(generation uint64) uint64 { return generation % eraSpan }
--- a/internal/configuration/event.go
+++ b/internal/configuration/event.go
@@ -15,4 +15,5 @@
 	eventCaughtUp          = event.New(509, "configuration-caught-up", event.Info, "The node fetched a full snapshot of the configuration, since it was far behind or follows a configuration source.")
 	eventSourceOlder       = event.New(510, "configuration-source-older", event.Warn, "The configuration source holds a configuration that operators declared before the one in force, for example because the store came back from an older copy. The node keeps the one in force until operators have declared it again or declared a later one.")
 	eventOlderRefused      = event.New(511, "configuration-older-refused", event.Warn, "A peer has a configuration with a later generation that operators declared before the one in force, for example a host that started from a store's older copy. The node keeps the one in force under a generation above the peer's.")
+	eventSourceRestored    = event.New(512, "configuration-source-restored", event.Warn, "The configuration source came back from an older copy: its versions have gone back, and its era has risen. Later versions count from the new era.")
 )
--- a/internal/configuration/source.go
+++ b/internal/configuration/source.go
@@ -45,13 +45,13 @@
 // Declared is the whole configuration read from a source. A part is one document
 // stored in the source; each part has a version.
 type Declared struct {
-	// Generation is the highest version of any part. Removing a part does not raise
-	// it.
+	// Generation is made by [NewGeneration] from the highest version of any part.
+	// Removing a part does not raise it.
 	Generation uint64
 	// Revision is the number that operators gave the configuration, 0 if unknown. It
 	// rises with each change that they declare.
 	Revision uint64
-	// AsOf is the version of the source at the time of the read.
+	// AsOf is made from the version of the source at the time of the read.
 	AsOf    uint64
 	Objects []object.Object
 }
@@ -63,10 +63,10 @@
 	// wraps ErrInvalidSource if the source responded, but not with a valid
 	// configuration.
 	Read(ctx context.Context) (declared Declared, ok bool, err error)
-	// Watch waits for a change after the version asOf. It returns the version of
-	// the latest change, or 0 if there was none within the wait, and the version to
+	// Watch waits for a change after the generation asOf. It returns the generation of
+	// the latest change, or 0 if there was none within the wait, and the generation to
 	// pass as asOf next. An error other than the context's means that changes may
-	// have been missed.
+	// have been missed, for example because the era has risen.
 	Watch(ctx context.Context, asOf uint64, wait time.Duration) (changed, next uint64, err error)
 }
 
@@ -168,6 +168,7 @@
 	if !r.upstreamReachable.Swap(true) {
 		eventTableReachable.Log(event.Fields{"generation": declared.Generation})
 	}
+	r.observeEra(Era(declared.AsOf), before)
 	if !found {
 		return declared.AsOf, true
 	}
@@ -187,6 +188,15 @@
 	return declared.AsOf, true
 }
 
+// observeEra logs that the era of the source has risen. Before is the generation in force.
+func (r *Replica) observeEra(era, before uint64) {
+	previous := r.sourceEra.Load()
+	storeMax(&r.sourceEra, era)
+	if previous > 0 && era > previous {
+		eventSourceRestored.Log(event.Fields{"era": era, "generation": before})
+	}
+}
+
 // applyDeclared applies a declared configuration unless the node already has it. It
 // returns errSourceOlder if operators declared the one in force later.
 // Removing a part does not raise Declared.Generation, so that it may be no higher than
--- a/internal/configuration/source_restored_test.go
+++ b/internal/configuration/source_restored_test.go
@@ -27,6 +27,7 @@
 	// version is the store's version, and declaredAt that of the declared configuration.
 	version, declaredAt uint64
 	revision            uint64
+	era                 uint64
 }
 
 // restorableStore is a store that can come back from an older copy. Its configuration
@@ -39,7 +40,7 @@
 }
 
 func newRestorableStore() *restorableStore {
-	return &restorableStore{changed: make(chan struct{})}
+	return &restorableStore{content: storeCopy{era: 1}, changed: make(chan struct{})}
 }
 
 // update changes the store and wakes those that watch it.
@@ -76,7 +77,10 @@
 func (s *restorableStore) restore(from storeCopy) {
 	s.setDown(true)
 	time.Sleep(time.Second)
-	s.update(func() { s.content, s.down = from, false })
+	s.update(func() {
+		from.era = s.content.era + 1
+		s.content, s.down = from, false
+	})
 }
 
 func (s *restorableStore) state() (content storeCopy, changed chan struct{}, err error) {
@@ -101,7 +105,8 @@
 	}
 	service := object.Object{Kind: object.KindService, Metadata: object.Metadata{Name: serviceOf(c.revision).Name}, Spec: object.ServiceSpec{}}
 	return Declared{
-		Generation: c.declaredAt, Revision: c.revision, AsOf: c.version, Objects: []object.Object{service},
+		Generation: NewGeneration(c.era, c.declaredAt), Revision: c.revision,
+		AsOf: NewGeneration(c.era, c.version), Objects: []object.Object{service},
 	}, c.declaredAt > 0, nil
 }
 
@@ -113,16 +118,16 @@
 		switch {
 		case err != nil:
 			return 0, 0, err
-		case c.version < asOf:
+		case c.era != Era(asOf), c.version < VersionInEra(asOf):
 			return 0, 0, platform.ErrHistoryLost
-		case c.declaredAt > asOf:
-			return c.declaredAt, c.version, nil
+		case c.declaredAt > VersionInEra(asOf):
+			return NewGeneration(c.era, c.declaredAt), NewGeneration(c.era, c.version), nil
 		}
 		select {
 		case <-ctx.Done():
 			return 0, 0, ctx.Err()
 		case <-timeout:
-			return 0, c.version, nil
+			return 0, NewGeneration(c.era, c.version), nil
 		case <-changes:
 		}
 	}
@@ -178,3 +183,66 @@
 		f.checkRevision(t, 8)
 	})
 }
+
+// TestChangeAfterRestoreIsPutInForce guards against a change that is taken for one before the
+// store went back, whose version it has.
+func TestChangeAfterRestoreIsPutInForce(t *testing.T) {
+	tests := map[string]struct {
+		// writtenSince is the number of versions after the copy, without the
+		// configuration's.
+		writtenSince uint64
+		// unrelated is the number of versions that others write after the restore.
+		unrelated uint64
+	}{
+		"same version given out again": {writtenSince: 0},
+		"versions far behind":          {writtenSince: 40},
+		"versions passed meanwhile":    {writtenSince: 3, unrelated: 30},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				store := newRestorableStore()
+				store.declare(3)
+				older := store.copy()
+				f := restorableFleet(t, store)
+				defer f.stopAll()
+				store.writeUnrelated(test.writtenSince)
+				store.declare(7)
+				time.Sleep(sourceInForce)
+
+				store.restore(older)
+				store.declare(7)
+				store.writeUnrelated(test.unrelated)
+				time.Sleep(3 * time.Second)
+				for revision := uint64(8); revision < 12; revision++ {
+					store.declare(revision)
+					time.Sleep(sourceInForce)
+					f.checkRevision(t, revision)
+				}
+			})
+		})
+	}
+}
+
+// TestSecondRestore guards against a fleet that survives one restore only.
+func TestSecondRestore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := newRestorableStore()
+		store.declare(3)
+		older := store.copy()
+		f := restorableFleet(t, store)
+		defer f.stopAll()
+		for revision := uint64(5); revision < 20; revision += 2 {
+			store.declare(revision)
+			time.Sleep(sourceInForce)
+			f.checkRevision(t, revision)
+			store.restore(older)
+			store.declare(revision)
+			time.Sleep(500 * time.Millisecond)
+			store.declare(revision + 1)
+			f.start(f.hosts[int(revision)%len(f.hosts)])
+			time.Sleep(settledAfterStart)
+			f.checkRevision(t, revision+1)
+		}
+	})
+}
--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -182,13 +182,14 @@
 		return nil, fmt.Errorf("%w: client closed", ErrUnavailable)
 	}
 	defer c.pending.Done()
-	return c.table.do(ctx, request{
+	response, err := c.table.do(ctx, request{
 		method:           http.MethodPost,
 		path:             path,
 		body:             body,
 		write:            write,
 		maxResponseBytes: maxTableBytes,
 	})
+	return response.body, err
 }
 
 // beginCall adds a call to those for which Close waits. If the client is closed, it
--- a/internal/platform/custom_service.go
+++ b/internal/platform/custom_service.go
@@ -50,10 +50,10 @@
 	}
 }
 
-// Do sends the request and returns the body of a 200 response. Each of its errors
-// wraps one of the package's errors.
-func (s *CustomService) Do(ctx context.Context, r ServiceRequest) ([]byte, error) {
-	return s.service.do(ctx, request{
+// Do sends the request and returns the header and the body of a 200 response. Each of its
+// errors wraps one of the package's errors.
+func (s *CustomService) Do(ctx context.Context, r ServiceRequest) (http.Header, []byte, error) {
+	response, err := s.service.do(ctx, request{
 		method:           r.Method,
 		path:             r.Path,
 		body:             r.Body,
@@ -61,6 +61,7 @@
 		maxResponseBytes: maxTableBytes,
 		maxServiceWait:   r.MaxServiceWait,
 	})
+	return response.header, response.body, err
 }
 
 // Close closes idle connections.
--- a/internal/platform/endless_test.go
+++ b/internal/platform/endless_test.go
@@ -35,7 +35,7 @@
 			qt.Assert(t, err, qt.IsNil)
 			service := platform.NewCustomService("store", server.Address(), 5*time.Second, func(int, []byte, bool) error { return platform.ErrUnavailable })
 			began := time.Now()
-			_, err = service.Do(context.Background(), platform.ServiceRequest{Method: http.MethodPost, Path: "/", Write: true})
+			_, _, err = service.Do(context.Background(), platform.ServiceRequest{Method: http.MethodPost, Path: "/", Write: true})
 			qt.Check(t, err, qt.ErrorIs, platform.ErrOutcomeUnknown)
 			qt.Check(t, time.Since(began) < 4*time.Second, qt.IsTrue, qt.Commentf("took %v", time.Since(began)))
 			service.Close()
--- a/internal/platform/objects.go
+++ b/internal/platform/objects.go
@@ -42,7 +42,8 @@
 		return nil, fmt.Errorf("%w: client closed", ErrUnavailable)
 	}
 	defer o.client.pending.Done()
-	return o.service.do(ctx, r)
+	response, err := o.service.do(ctx, r)
+	return response.body, err
 }
 
 func objectPath(name string) string {
--- a/internal/platform/service.go
+++ b/internal/platform/service.go
@@ -44,33 +44,34 @@
 // serviceResponse is the response of a service.
 type serviceResponse struct {
 	status int
+	header http.Header
 	body   []byte
 }
 
-// do sends r and returns the body of a 200 response. Each of its errors wraps one of
-// the package's errors.
-func (s *service) do(ctx context.Context, r request) ([]byte, error) {
+// do sends r and returns a 200 response. Each of its errors wraps one of the package's
+// errors.
+func (s *service) do(ctx context.Context, r request) (serviceResponse, error) {
 	callCount.Add(1)
-	body, err := s.attempt(ctx, r)
+	response, err := s.attempt(ctx, r)
 	if err != nil {
 		countError(err)
-		return nil, fmt.Errorf("%s %s%s: %w", r.method, s.name, r.path, err)
+		return serviceResponse{}, fmt.Errorf("%s %s%s: %w", r.method, s.name, r.path, err)
 	}
-	return body, nil
+	return response, nil
 }
 
-func (s *service) attempt(ctx context.Context, r request) ([]byte, error) {
+func (s *service) attempt(ctx context.Context, r request) (serviceResponse, error) {
 	if err := ctx.Err(); err != nil {
-		return nil, fmt.Errorf("%w: %w", ErrUnavailable, err)
+		return serviceResponse{}, fmt.Errorf("%w: %w", ErrUnavailable, err)
 	}
 	decision := s.circuit.allow(time.Now())
 	if decision == rejected {
 		circuitRefusalCount.Add(1)
-		return nil, fmt.Errorf("%w: circuit open", ErrUnavailable)
+		return serviceResponse{}, fmt.Errorf("%w: circuit open", ErrUnavailable)
 	}
-	body, err := s.exchange(ctx, r)
+	response, err := s.exchange(ctx, r)
 	s.recordOutcome(ctx, decision, err)
-	return body, err
+	return response, err
 }
 
 // recordOutcome tells the circuit breaker how an allowed request ended.
@@ -92,7 +93,7 @@
 }
 
 // exchange sends r and classifies the response or the error.
-func (s *service) exchange(ctx context.Context, r request) ([]byte, error) {
+func (s *service) exchange(ctx context.Context, r request) (serviceResponse, error) {
 	ctx, cancel := context.WithTimeout(ctx, s.timeout+r.maxServiceWait)
 	defer cancel()
 	var gotConnection atomic.Bool
@@ -100,13 +101,13 @@
 	response, err := s.roundTrip(httptrace.WithClientTrace(ctx, trace), r)
 	switch {
 	case err != nil && (!r.write || !gotConnection.Load()):
-		return nil, fmt.Errorf("%w: %w", ErrUnavailable, err)
+		return serviceResponse{}, fmt.Errorf("%w: %w", ErrUnavailable, err)
 	case err != nil:
-		return nil, fmt.Errorf("%w: %w", ErrOutcomeUnknown, err)
+		return serviceResponse{}, fmt.Errorf("%w: %w", ErrOutcomeUnknown, err)
 	case response.status == http.StatusOK:
-		return response.body, nil
+		return response, nil
 	default:
-		return nil, s.classify(response, r.write)
+		return serviceResponse{}, s.classify(response, r.write)
 	}
 }
 
@@ -129,7 +130,7 @@
 	if int64(len(body)) > r.maxResponseBytes {
 		return serviceResponse{}, fmt.Errorf("answer exceeds %d bytes", r.maxResponseBytes)
 	}
-	return serviceResponse{status: resp.StatusCode, body: body}, nil
+	return serviceResponse{status: resp.StatusCode, header: resp.Header, body: body}, nil
 }
 
 // refusalErrors maps the status of a service's refusal to the code that must come
