Keep zones as they are while operators write a restored store again

Cause: operators write their document and the zones out of service one after the other. A host that read between the two, just after the store came back from an older copy, took a zone that had been out of service back in, or the other way round, and callers' requests went to a zone that was to get none.

Change: for a second after the first answer in a new era a host keeps the configuration in force if the source differs from it under the same revision. A later revision is applied at once, as operators declare none before they have restored theirs.

Ruled out: keeping the zones alone, which would give one generation two contents.

--- a/internal/configuration/era.go
+++ b/internal/configuration/era.go
@@ -1,5 +1,14 @@
 package configuration
 
+import (
+	"sync"
+	"time"
+)
+
+// restoreSettleTime is how long after a restore the parts of the source that operators
+// write again are not yet taken for complete.
+const restoreSettleTime = time.Second
+
 // eraSpan is the number of generations in one era of a source. It exceeds the versions
 // that a store gives out in its lifetime, and shows the era in logged generations.
 const eraSpan = 1_000_000_000_000
@@ -18,3 +27,32 @@
 // VersionInEra returns the version of the source's store from which a generation was
 // made.
 func VersionInEra(generation uint64) uint64 { return generation % eraSpan }
+
+// sourceEra is the highest era in which a source has answered. The zero value has seen no
+// answer.
+type sourceEra struct {
+	mu    sync.Mutex
+	era   uint64
+	since time.Time
+}
+
+// observe records an answer in the era at the time now. It reports whether the era has
+// risen since an earlier answer.
+func (e *sourceEra) observe(era uint64, now time.Time) (risen bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if era <= e.era {
+		return false
+	}
+	risen = e.era > 0
+	e.era, e.since = era, now
+	return risen
+}
+
+// settled reports whether the source has answered in its present era for
+// restoreSettleTime.
+func (e *sourceEra) settled(now time.Time) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return now.Sub(e.since) >= restoreSettleTime
+}
--- a/internal/configuration/replica.go
+++ b/internal/configuration/replica.go
@@ -56,8 +56,7 @@
 	// startSourceFailed is set if the last read of the source before the node was
 	// ready failed. Only runStartup uses it.
 	startSourceFailed bool
-	// sourceEra is the highest era in which the source has answered.
-	sourceEra atomic.Uint64
+	sourceEra         sourceEra
 	// olderRevision is the last revision of the source that was refused because a later
 	// one is in force.
 	olderRevision atomic.Uint64
--- a/internal/configuration/source.go
+++ b/internal/configuration/source.go
@@ -42,6 +42,10 @@
 	sourceTimeout = 800 * time.Millisecond
 )
 
+// errSourceUnsettled means that the source came back from an older copy and may lack parts
+// that operators are about to write again.
+var errSourceUnsettled = errors.New("configuration: the source has just come back from an older copy")
+
 // Declared is the whole configuration read from a source. A part is one document
 // stored in the source; each part has a version.
 type Declared struct {
@@ -168,13 +172,15 @@
 	if !r.upstreamReachable.Swap(true) {
 		eventTableReachable.Log(event.Fields{"generation": declared.Generation})
 	}
-	r.observeEra(Era(declared.AsOf), before)
+	if era := Era(declared.AsOf); r.sourceEra.observe(era, r.config.Now()) {
+		eventSourceRestored.Log(event.Fields{"era": era, "generation": before})
+	}
 	if !found {
 		return declared.AsOf, true
 	}
 	declared.Generation = max(declared.Generation, atLeast)
 	err = r.applyDeclared(ctx, declared)
-	if errors.Is(err, errSourceOlder) {
+	if errors.Is(err, errSourceOlder) || errors.Is(err, errSourceUnsettled) {
 		return 0, false
 	}
 	if err != nil {
@@ -188,17 +194,9 @@
 	return declared.AsOf, true
 }
 
-// observeEra logs that the era of the source has risen. Before is the generation in force.
-func (r *Replica) observeEra(era, before uint64) {
-	previous := r.sourceEra.Load()
-	storeMax(&r.sourceEra, era)
-	if previous > 0 && era > previous {
-		eventSourceRestored.Log(event.Fields{"era": era, "generation": before})
-	}
-}
-
 // applyDeclared applies a declared configuration unless the node already has it. It
-// returns errSourceOlder if operators declared the one in force later.
+// returns errSourceOlder if operators declared the one in force later, and
+// errSourceUnsettled if the source may lack parts that operators are about to write again.
 // Removing a part does not raise Declared.Generation, so that it may be no higher than
 // the node's generation although the objects differ. In that case AsOf becomes the
 // generation.
@@ -216,6 +214,9 @@
 		}
 		return errSourceOlder
 	}
+	if r.mayLackParts(declared, objects) {
+		return errSourceUnsettled
+	}
 	if declared.Generation <= current.generation {
 		if declared.AsOf <= current.generation || reflect.DeepEqual(current.objects, objects) {
 			return nil
@@ -225,6 +226,15 @@
 	return r.submitSnapshot(ctx, declared.Generation, declared.Revision, objects)
 }
 
+// mayLackParts reports whether the source came back from an older copy a moment ago and
+// differs from the configuration in force, although operators have declared nothing later.
+func (r *Replica) mayLackParts(declared Declared, objects map[object.ID]object.Object) bool {
+	current := r.Snapshot()
+	restored := current.generation > 0 && Era(declared.AsOf) > Era(current.generation)
+	return restored && declared.Revision == current.revision &&
+		!r.sourceEra.settled(r.config.Now()) && !reflect.DeepEqual(current.objects, objects)
+}
+
 // readyFromSource reports whether the node has the configuration of the source or,
 // if the source is unreachable, of its ready peers. While operators have declared none
 // yet, only the first host of a zone reads the source each time; the others mostly wait for
--- a/internal/configuration/source_restored_test.go
+++ b/internal/configuration/source_restored_test.go
@@ -28,6 +28,10 @@
 	version, declaredAt uint64
 	revision            uint64
 	era                 uint64
+	// zoneOut is set while zone north is out of service, and zoneAt is the version of
+	// that row.
+	zoneOut bool
+	zoneAt  uint64
 }
 
 // restorableStore is a store that can come back from an older copy. Its configuration
@@ -60,6 +64,15 @@
 	})
 }
 
+// setZoneOut takes zone north out of service, or back.
+func (s *restorableStore) setZoneOut(out bool) {
+	s.update(func() {
+		s.content.version++
+		s.content.zoneAt = s.content.version
+		s.content.zoneOut = out
+	})
+}
+
 // writeUnrelated adds n versions that do not concern the configuration.
 func (s *restorableStore) writeUnrelated(n uint64) {
 	s.update(func() { s.content.version += n })
@@ -93,6 +106,8 @@
 	return s.content, s.changed, nil
 }
 
+var zoneNorth = object.ID{Kind: object.KindAvailabilityZone, Name: "north"}
+
 func serviceOf(revision uint64) object.ID {
 	return object.ID{Kind: object.KindService, Name: fmt.Sprintf("peals-%d", revision)}
 }
@@ -104,10 +119,16 @@
 		return Declared{}, false, err
 	}
 	service := object.Object{Kind: object.KindService, Metadata: object.Metadata{Name: serviceOf(c.revision).Name}, Spec: object.ServiceSpec{}}
-	return Declared{
+	declared := Declared{
 		Generation: NewGeneration(c.era, c.declaredAt), Revision: c.revision,
 		AsOf: NewGeneration(c.era, c.version), Objects: []object.Object{service},
-	}, c.declaredAt > 0, nil
+	}
+	if c.zoneOut {
+		zone := object.Object{Kind: zoneNorth.Kind, Metadata: object.Metadata{Name: zoneNorth.Name}, Spec: object.AvailabilityZoneSpec{}}
+		declared.Objects = append(declared.Objects, zone)
+		declared.Generation = NewGeneration(c.era, max(c.declaredAt, c.zoneAt))
+	}
+	return declared, c.declaredAt > 0, nil
 }
 
 // Watch implements Source.
@@ -120,8 +141,8 @@
 			return 0, 0, err
 		case c.era != Era(asOf), c.version < VersionInEra(asOf):
 			return 0, 0, platform.ErrHistoryLost
-		case c.declaredAt > VersionInEra(asOf):
-			return NewGeneration(c.era, c.declaredAt), NewGeneration(c.era, c.version), nil
+		case max(c.declaredAt, c.zoneAt) > VersionInEra(asOf):
+			return NewGeneration(c.era, max(c.declaredAt, c.zoneAt)), NewGeneration(c.era, c.version), nil
 		}
 		select {
 		case <-ctx.Done():
@@ -246,3 +267,47 @@
 		}
 	})
 }
+
+// checkZoneOut checks that all hosts have zone north out of service, or all have it in
+// service.
+func (f *fleet) checkZoneOut(t *testing.T, out bool) {
+	t.Helper()
+	for i, h := range f.hosts {
+		_, found := f.replica(i).Snapshot().Object(zoneNorth)
+		qt.Check(t, found, qt.Equals, out, qt.Commentf("%s", h.ID))
+	}
+}
+
+// TestZoneDuringRestore guards against a zone that is in or out of service for a moment as its
+// store went back, before operators have written it again.
+func TestZoneDuringRestore(t *testing.T) {
+	for name, out := range map[string]bool{"taken out since the copy": true, "back in service since the copy": false} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				store := newRestorableStore()
+				store.declare(3)
+				store.setZoneOut(!out)
+				older := store.copy()
+				f := restorableFleet(t, store)
+				defer f.stopAll()
+				store.setZoneOut(out)
+				time.Sleep(sourceInForce)
+
+				store.restore(older)
+				store.declare(3)
+				for range 25 {
+					time.Sleep(10 * time.Millisecond)
+					f.checkZoneOut(t, out)
+				}
+				store.setZoneOut(out)
+				for range 60 {
+					time.Sleep(50 * time.Millisecond)
+					f.checkZoneOut(t, out)
+				}
+				store.setZoneOut(!out)
+				time.Sleep(sourceInForce)
+				f.checkZoneOut(t, !out)
+			})
+		})
+	}
+}
