Write the row of the directory again after the store came back

Seen in a drill: the platform's store is away for a moment and comes back from a copy some seconds old. A host that starts afterwards finds no other host, or only those whose rows are older than the copy: it has no backend servers to call and refuses.

Cause: each node writes its row in the directory of hosts once, at its start, and took the acknowledgement for lasting.

Why it works: the generation of the configuration tells the era of the store, and a node learns of a new era from the store, so that a write that begins afterwards is not lost by that return. One goroutine joins and then renews, and a channel of one value holds what it has yet to do: no second write at once, none missed while a write or a retry is under way, and one write for two returns that come before it. The writes are spread over 1 s. A node that leaves no longer writes its row; before, one that could not write it at its start could do so after it had left.

Ruled out: checking whether the row is missing before the write (a read and often a write in place of a write); a goroutine for each rise (they would overlap, and start while Close waits).

--- a/internal/membership/directory.go
+++ b/internal/membership/directory.go
@@ -24,6 +24,9 @@
 	// directoryRetryInterval is the time between two attempts to write this
 	// host's row.
 	directoryRetryInterval = 2 * time.Second
+	// renewalSpread is the time over which the hosts spread the writes with which they
+	// renew their rows.
+	renewalSpread = time.Second
 )
 
 // directoryRow is the value of a host's row in the directory.
@@ -36,6 +39,38 @@
 
 func directoryKey(zone, id string) string { return directoryPrefix + zone + "/" + id }
 
+// RenewDirectoryRow makes the node write its row in the directory again, within
+// renewalSpread or as soon as the table is available. It must be called whenever the
+// table has come back from an older copy, which may lack the row.
+func (l *List) RenewDirectoryRow() {
+	select {
+	case l.renewals <- struct{}{}:
+	default: // The write that follows the pending call is not older than this one.
+	}
+}
+
+// keepInDirectory joins, and then renews this host's row after each call of
+// RenewDirectoryRow, until this node leaves.
+func (l *List) keepInDirectory(ctx context.Context) {
+	l.join(ctx)
+	if l.config.Table == nil {
+		return
+	}
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-l.done:
+			return
+		case <-l.renewals:
+		}
+		if !l.pause(ctx, rand.N(renewalSpread)) || !l.enterDirectory(ctx) {
+			return
+		}
+		eventDirectoryRenewed.Log(event.Fields{"host": l.config.ID})
+	}
+}
+
 // join finds other nodes and writes this host's row to the directory, retrying
 // while the table is unavailable. Before the write, it reads the directory only if
 // no seed answers. After the write, it always reads it, so that of two nodes that
@@ -44,19 +79,40 @@
 	if !l.syncWithSeeds(ctx) {
 		l.syncWithDirectory(ctx, false)
 	}
-	if l.config.Table == nil {
-		return
+	if l.config.Table != nil && l.enterDirectory(ctx) {
+		l.discover(ctx)
 	}
-	for l.writeDirectoryRow(ctx) != nil {
+}
+
+// enterDirectory writes this host's row, retrying until it succeeds. It returns false
+// if this node stops or leaves before. The write also serves the calls of
+// RenewDirectoryRow that were made before it began.
+func (l *List) enterDirectory(ctx context.Context) bool {
+	for !l.leaving.Load() {
 		select {
-		case <-ctx.Done():
-			return
-		case <-l.done:
-			return
-		case <-time.After(directoryRetryInterval):
+		case <-l.renewals:
+		default:
+		}
+		if l.writeDirectoryRow(ctx) == nil {
+			return true
+		}
+		if !l.pause(ctx, directoryRetryInterval) {
+			return false
 		}
 	}
-	l.discover(ctx)
+	return false
+}
+
+// pause waits for d and reports whether it elapsed before the list stopped.
+func (l *List) pause(ctx context.Context, d time.Duration) bool {
+	select {
+	case <-ctx.Done():
+		return false
+	case <-l.done:
+		return false
+	case <-time.After(d):
+		return true
+	}
 }
 
 // writeDirectoryRow writes this host's row. The write needs no condition, because
--- a/internal/membership/event.go
+++ b/internal/membership/event.go
@@ -12,6 +12,8 @@
 		"Another host did not answer in time and is considered dead until it announces itself again.")
 	eventDirectory = event.New(402, "directory-unreachable", event.Warn,
 		"The directory of hosts in the platform's table could not be read or written; known hosts stay known.")
+	eventDirectoryRenewed = event.New(403, "directory-renewed", event.Info,
+		"The platform's store had come back from an older copy; this host's row in the directory of hosts was written again.")
 )
 
 var (
--- a/internal/membership/list.go
+++ b/internal/membership/list.go
@@ -64,6 +64,11 @@
 	mu          sync.Mutex
 	subscribers []func([]Member)
 
+	// renewals holds a value while a call of RenewDirectoryRow is pending.
+	renewals chan struct{}
+	// leaving is set once Leave is called.
+	leaving atomic.Bool
+
 	inbox     chan func()
 	done      chan struct{}
 	closeOnce sync.Once
@@ -84,6 +89,7 @@
 		config:      config,
 		incarnation: self.Incarnation,
 		roster:      newRoster(self),
+		renewals:    make(chan struct{}, 1),
 		inbox:       make(chan func(), 64),
 		done:        make(chan struct{}),
 	}
@@ -122,6 +128,7 @@
 // directory. It sends the announcement to a few random members immediately; the
 // others learn it from them.
 func (l *List) Leave(ctx context.Context) {
+	l.leaving.Store(true)
 	_ = l.do(func() {
 		l.roster.update(func(m *Member) { m.Leaving = true })
 	})
@@ -142,7 +149,7 @@
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	l.wg.Go(func() { l.join(ctx) })
+	l.wg.Go(func() { l.keepInDirectory(ctx) })
 	l.publish()
 	publishTimer := time.NewTimer(0)
 	defer publishTimer.Stop()
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -72,7 +72,10 @@
 	// leaving holds the hosts that have announced that they are leaving. Only the
 	// membership's callback uses it.
 	leaving map[string]bool
-	pending pendingHeartbeat
+	// storeEra is the highest era of the platform's store that the node has learned of.
+	// Only the configuration's callback uses it.
+	storeEra uint64
+	pending  pendingHeartbeat
 	// retrySlack is settings.Limits.RetrySlack as last loaded.
 	retrySlack atomic.Int64
 	// accepting is set while the node accepts new calls.
@@ -102,7 +105,10 @@
 
 // NewWithAdapter is like New, but takes the node's interfaces from the adapter.
 func NewWithAdapter(s settings.Settings, adapter Adapter) (*Node, error) {
-	n := &Node{settings: s, adapter: adapter, table: adapter.Table, leaving: make(map[string]bool)}
+	n := &Node{
+		settings: s, adapter: adapter, table: adapter.Table, leaving: make(map[string]bool),
+		storeEra: configuration.Era(0),
+	}
 	n.retrySlack.Store(int64(s.Limits.RetrySlack))
 	n.platform = platform.New(platform.Config{
 		TableAddress: s.Platform.TableAddress,
--- a/internal/node/subscribe.go
+++ b/internal/node/subscribe.go
@@ -94,6 +94,7 @@
 // applyConfiguration passes a new configuration to the components that depend on
 // it.
 func (n *Node) applyConfiguration(s *configuration.Snapshot) {
+	n.applyStoreEra(configuration.Era(s.Generation()))
 	n.applyAccountLimits(s)
 	inService := make(map[string]bool)
 	for name, spec := range s.Zones() {
@@ -108,6 +109,16 @@
 	}
 }
 
+// applyStoreEra renews this host's row in the directory if the platform's store has come
+// back from an older copy, which may lack the row.
+func (n *Node) applyStoreEra(era uint64) {
+	if era <= n.storeEra {
+		return
+	}
+	n.storeEra = era
+	n.members.RenewDirectoryRow()
+}
+
 // applyAccountLimits passes the limits of the client accounts to the component
 // that enforces them.
 func (n *Node) applyAccountLimits(s *configuration.Snapshot) {
