Let groups of hosts find each other after a loss of the directory

Seen: two hosts start at the same time after the platform's store has come back without the rows of the directory, and before the other hosts have written theirs again. They find each other and nobody else, for good: they call only each other's backend servers, and the rest of the fleet never calls theirs.

Cause: a node reads the directory at its start, and later only while it knows no other node. Nobody who knows another node looks for groups that it has never met, and probes reach dead members only.

Evidence: TestHostsThatStartAfterALossFindTheOthers, two late hosts.

Why it works: a second after it has renewed its row, when those that learned of the return at the same time have renewed theirs, a node reads the directory and exchanges members with a few hosts that it has never heard of. Nodes that know the whole fleet find none and contact nobody. Hosts known as dead, whose rows came back with the copy, are not contacted.

Ruled out: reading at once after the write.

--- a/internal/membership/directory.go
+++ b/internal/membership/directory.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"curranthold.example/curranthold/internal/event"
@@ -50,7 +51,8 @@
 }
 
 // keepInDirectory joins, and then renews this host's row after each call of
-// RenewDirectoryRow, until this node leaves.
+// RenewDirectoryRow, until this node leaves. It reads the directory once the other nodes
+// have renewed their rows too, so that groups of nodes that do not know each other meet.
 func (l *List) keepInDirectory(ctx context.Context) {
 	l.join(ctx)
 	if l.config.Table == nil {
@@ -68,6 +70,10 @@
 			return
 		}
 		eventDirectoryRenewed.Log(event.Fields{"host": l.config.ID})
+		if !l.pause(ctx, renewalSpread) {
+			return
+		}
+		l.syncWithUnknown(ctx)
 	}
 }
 
@@ -167,14 +173,35 @@
 	return l.syncWithAll(ctx, l.config.Seeds)
 }
 
-// syncWithDirectory synchronizes with a few hosts of the directory: of this node's zone
-// and, if none of these answers or crossZone is set, of other zones. Of a large zone,
-// only some nodes do the latter.
+// syncWithDirectory synchronizes with a few hosts of the directory, as syncWithRows does.
 func (l *List) syncWithDirectory(ctx context.Context, crossZone bool) {
-	listed, err := l.listDirectory(ctx)
-	if err != nil {
-		eventDirectory.Log(event.Fields{"operation": "list", "error": err.Error()})
+	l.syncWithRows(ctx, l.listDirectory(ctx), crossZone)
+}
+
+// syncWithUnknown synchronizes with a few hosts of the directory that this node does not
+// know. Of a large zone, only some nodes do so. Hosts that started while rows were lost
+// may have found only each other, and do not read the directory again on their own.
+func (l *List) syncWithUnknown(ctx context.Context) {
+	var zoneMates int
+	if l.do(func() { zoneMates = l.roster.zoneMates }) != nil || !l.syncsAcrossZones(zoneMates) {
+		return
+	}
+	listed := l.listDirectory(ctx)
+	err := l.do(func() {
+		listed = slices.DeleteFunc(listed, func(row directoryRow) bool {
+			known, found := l.roster.members[row.ID]
+			return found && known.Incarnation >= row.Incarnation
+		})
+	})
+	if err == nil {
+		l.syncWithRows(ctx, listed, true)
 	}
+}
+
+// syncWithRows synchronizes with a few of the listed hosts: of this node's zone and, if
+// none of these answers or crossZone is set, of other zones. Of a large zone, only some
+// nodes do the latter.
+func (l *List) syncWithRows(ctx context.Context, listed []directoryRow, crossZone bool) {
 	rand.Shuffle(len(listed), func(i, j int) { listed[i], listed[j] = listed[j], listed[i] })
 	var mates, others []string
 	for _, row := range listed {
@@ -202,18 +229,19 @@
 	return answered
 }
 
-// listDirectory returns the rows of all hosts in the directory. If a read fails, it
-// returns the error and the rows that it read before.
-func (l *List) listDirectory(ctx context.Context) ([]directoryRow, error) {
+// listDirectory returns the rows of all hosts in the directory. If a read fails, it logs
+// the error and returns the rows that it read before.
+func (l *List) listDirectory(ctx context.Context) []directoryRow {
 	if l.config.Table == nil {
-		return nil, nil
+		return nil
 	}
 	var listed []directoryRow
 	after := ""
 	for {
 		rows, err := l.config.Table.List(ctx, directoryPrefix, after, directoryPageSize)
 		if err != nil {
-			return listed, err
+			eventDirectory.Log(event.Fields{"operation": "list", "error": err.Error()})
+			return listed
 		}
 		for _, row := range rows {
 			var host directoryRow
@@ -222,7 +250,7 @@
 			}
 		}
 		if len(rows) < directoryPageSize {
-			return listed, nil
+			return listed
 		}
 		after = rows[len(rows)-1].Key
 	}
--- a/internal/membership/restore_test.go
+++ b/internal/membership/restore_test.go
@@ -22,8 +22,9 @@
 	away bool
 	// latency is how long a write takes beyond tableLatency until its host learns of it.
 	latency time.Duration
-	// writes counts the writes of each row that the table acknowledged, and lastWrite is
-	// the time of the latest.
+	// reads counts the reads of a page, and writes the writes of each row that the table
+	// acknowledged. lastWrite is the time of the latest write.
+	reads     int
 	writes    map[string]int
 	lastWrite time.Time
 }
@@ -37,6 +38,7 @@
 	if _, away := t.state(); away {
 		return nil, platform.ErrUnavailable
 	}
+	t.set(func() { t.reads++ })
 	return t.fakeTable.List(ctx, prefix, after, limit)
 }
 
@@ -264,3 +266,31 @@
 		qt.Check(t, f.table.copyWrites()[key]-before, qt.Equals, 1)
 	})
 }
+
+// TestHostsThatStartAfterALossFindTheOthers starts two hosts at once after the rows are
+// lost, before any is renewed, so that they find each other and read the directory no
+// more.
+func TestHostsThatStartAfterALossFindTheOthers(t *testing.T) {
+	tests := map[string]struct{ hosts int }{
+		"small zones": {hosts: 8},
+		"large zones": {hosts: 120},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			inBubble(t, test.hosts, func(t *testing.T, f *restoredFleet) {
+				f.table.restore(nil)
+				f.start("a998")
+				f.start("b999")
+				time.Sleep(500 * time.Millisecond)
+				readsBefore := f.table.reads
+				f.renew()
+				agreed := f.timeToAgree()
+				late := f.lists[len(f.lists)-1]
+				reads := f.table.reads - readsBefore
+				t.Logf("all know each other after %v and %d reads", agreed, reads)
+				qt.Check(t, agreed < 5*time.Second, qt.IsTrue, qt.Commentf("%s knows %d hosts of %d", late.config.ID, liveCount(late), len(f.lists)))
+				qt.Check(t, reads < 80, qt.IsTrue, qt.Commentf("%d reads", reads))
+			})
+		})
+	}
+}
