Let an attempt at an unresponsive host go on beside the next one

What callers saw: a call whose host answered no ping for 300 ms, because it was paused or short of processor time, ended with 502 after 0.55 s if it could not be sent again (no attempt, no retry or no other host left, or the other host refused), although a backend server was at work on it and would have answered before the deadline.

Cause: the entry gave up a repeatable call at such a host, and told its owner to cancel it, before it knew whether another host would serve the call.

The attempt now goes on beside those that follow. The first response of a backend server is used, as with hedged calls, and the others are cancelled then. Without a further attempt the call waits for the first one, until the deadline or until the connection fails, which takes 2 s for a host that lost power (package socket). Retries count as before.

Evidence: TestCallAtUnresponsiveHostGoesOn. Before, the answer of the first host that came after 0.9 s was lost in 3 of 3 cases ("one attempt" and "other host refuses": may-have-run after 0.56 s; "other host is slower": may-have-run after 1.1 s). Now all are served after 0.9 s. "first host is gone" is served by the second host within 0.9 s, before and after.

Ruled out: a longer wait for the ping, which only moves the bound and delays the second attempt for a host that is gone; giving up once the second attempt is on its way, since that one may still be refused.

--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -2,73 +2,83 @@
 
 import (
 	"context"
-	"errors"
 	"math/rand/v2"
 	"net/http"
 	"strconv"
-	"sync/atomic"
 	"time"
 
 	"curranthold.example/curranthold/internal/balance"
 	"curranthold.example/curranthold/internal/call"
-	"curranthold.example/curranthold/internal/event"
 	"curranthold.example/curranthold/internal/kernel"
-	"curranthold.example/curranthold/internal/peer"
 	"curranthold.example/curranthold/internal/retry"
 	"curranthold.example/curranthold/pkg/verdict"
 )
 
-const (
-	// answerGrace is how long past the owner's deadline an entry still waits for
-	// the owner's answer, which carries the verdict of the call.
-	answerGrace = 3 * time.Millisecond
-	// cancelTimeout bounds the sending of a cancel message to an owner.
-	cancelTimeout = 200 * time.Millisecond
-	// maxFailovers is the maximum number of times a call is sent to another host
-	// after an attempt that was not offered to a backend server, if NoCallTokens
-	// is set.
-	maxFailovers = 3
-)
+// maxFailovers is the maximum number of times a call is sent to another host after an
+// attempt that was not offered to a backend server, if NoCallTokens is set.
+const maxFailovers = 3
 
 // attemptStage sends the call to a host. After a failure it sends the call to
 // another host if a retry is safe and the limits on retries allow it (see mayRetry).
+// Attempts at unresponsive hosts go on until the call has ended.
 func attemptStage(e *Entry) kernel.Stage[*activeCall] {
 	return func(ctx context.Context, x *activeCall, _ kernel.Handler[*activeCall]) error {
 		if err := e.checkThrottle(x); err != nil {
 			return err
 		}
 		e.countFirstAttempt(x)
-		var excluded []string
-		var lastFailure *verdict.Error
-		var fallback *call.Answer
-		mayHaveRun := false
-		for attempt := 1; ; attempt++ {
-			host, offered, err := e.attempt(ctx, x, attempt, excluded)
-			if err == nil {
-				err = e.serverErrorToRetry(x)
-				fallback = x.answer
-			}
-			if err == nil {
-				return nil
-			}
-			failure := verdict.From(err)
-			if lastFailure != nil && failure.Code == verdict.NoHost {
-				return x.finishFailed(lastFailure, mayHaveRun, fallback) // All hosts have been tried.
-			}
-			lastFailure = failure
-			mayHaveRun = mayHaveRun || failure.Verdict == verdict.MayHaveRun
-			if !e.mayRetry(ctx, x, failure, offered) {
-				return x.finishFailed(failure, mayHaveRun, fallback)
-			}
-			metricRetries.Add(1)
-			e.log.retried(x, host, attempt, failure)
-			x.request.Repeated = x.request.Repeated || offered
-			if host != "" {
-				excluded = append(excluded, host)
-			}
-			if !sleep(ctx, retry.Backoff(attempt, rand.Float64)) {
-				return x.finishFailed(failure, mayHaveRun, fallback)
-			}
+		attemptsCtx, cancel := context.WithCancel(ctx)
+		defer cancel()
+		x.late.ctx, x.late.interrupt = ctx, cancel
+		defer x.late.close()
+		failure := e.sendToHosts(attemptsCtx, x)
+		if failure == nil {
+			return nil
+		}
+		if x.fallback != nil && attemptsCtx.Err() == nil {
+			x.answer = x.fallback
+			return nil
+		}
+		err := e.awaitLate(x, failure)
+		if err != nil && x.fallback != nil {
+			x.answer = x.fallback
+			return nil
+		}
+		return err
+	}
+}
+
+// sendToHosts sends the call to one host after the other until it is served. It returns
+// the last failure if there is nothing left to try.
+func (e *Entry) sendToHosts(ctx context.Context, x *activeCall) *verdict.Error {
+	var excluded []string
+	var lastFailure *verdict.Error
+	for attempt := 1; ; attempt++ {
+		host, offered, err := e.attempt(ctx, x, attempt, excluded)
+		if err == nil {
+			err = e.serverErrorToRetry(x)
+			x.fallback = x.answer
+		}
+		if err == nil {
+			return nil
+		}
+		failure := verdict.From(err)
+		if lastFailure != nil && failure.Code == verdict.NoHost {
+			return lastFailure // All hosts have been tried.
+		}
+		lastFailure = failure
+		x.mayHaveRun = x.mayHaveRun || failure.Verdict == verdict.MayHaveRun
+		if !e.mayRetry(ctx, x, failure, offered) {
+			return failure
+		}
+		metricRetries.Add(1)
+		e.log.retried(x, host, attempt, failure)
+		x.request.Repeated = x.request.Repeated || offered
+		if host != "" {
+			excluded = append(excluded, host)
+		}
+		if !sleep(ctx, retry.Backoff(attempt, rand.Float64)) {
+			return failure
 		}
 	}
 }
@@ -120,17 +130,6 @@
 	return verdict.New(verdict.MayHaveRun, verdict.BackendFailed, "the backend server answered with status %d", x.answer.Status)
 }
 
-// finishFailed ends a call whose last attempt failed. If a backend server responded
-// to any attempt, the call's answer is fallback, the latest such response. Otherwise
-// finishFailed returns the error of the call.
-func (x *activeCall) finishFailed(failure *verdict.Error, mayHaveRun bool, fallback *call.Answer) error {
-	if fallback == nil {
-		return overallError(failure, mayHaveRun)
-	}
-	x.answer = fallback
-	return nil
-}
-
 // overallError returns the error of the last attempt with the verdict of the whole
 // call: if an earlier attempt may have run, the call may have run.
 func overallError(failure *verdict.Error, mayHaveRun bool) error {
@@ -185,18 +184,29 @@
 	if result.served() && e.canHedge(x) {
 		e.latencies.observe(x.request.Route, result.latency)
 	}
-	x.noteNonRepeatable(answer.NonRepeatable)
 	budgetShare.Refund(answer.ExtraAttempts)
+	err = e.accept(x, result)
+	return host.ID, err == nil || answer.Offered, err
+}
+
+// accept takes the outcome of an attempt: it makes the response of a backend server the
+// call's answer, and returns any other outcome as an error.
+func (e *Entry) accept(x *activeCall, result *sendResult) error {
+	if result.err != nil {
+		return result.err
+	}
+	host, answer := result.host, result.answer
+	x.noteNonRepeatable(answer.NonRepeatable)
 	e.config.Balancer.Observe(host.ID, answer.Load, time.Now())
 	e.throttle.Observe(e.throttleKind(x), answer.RefusedBeneath, time.Now())
-	if answer.Err != nil {
-		if answer.Err.Code == verdict.BackendUnreachable {
-			e.config.Balancer.RecordUnreachable(host.ID, time.Now())
-		}
-		return host.ID, answer.Offered, answer.Err
+	if answer.Err == nil {
+		x.answer = answer
+		return nil
+	}
+	if answer.Err.Code == verdict.BackendUnreachable {
+		e.config.Balancer.RecordUnreachable(host.ID, time.Now())
 	}
-	x.answer = answer
-	return host.ID, true, nil
+	return answer.Err
 }
 
 // budgetShare returns the part of the call's attempt budget that is sent with the
@@ -218,91 +228,35 @@
 	}
 }
 
-// send sends the call to the host and returns the answer.
-func (e *Entry) send(ctx context.Context, host balance.Host, request *call.Request) (*call.Answer, error) {
-	e.config.Balancer.Begin(host.ID)
-	defer e.config.Balancer.End(host.ID)
+// send sends the call to the host and returns the result. If the host becomes
+// unresponsive and the request is repeatable, send leaves the attempt to x.late and
+// returns an error, so that the request is sent to another host as well.
+func (e *Entry) send(ctx context.Context, x *activeCall, host balance.Host, request *call.Request) *sendResult {
 	if host.ID == e.config.Host {
-		answer := new(call.Answer)
-		e.config.Owner.Call(ctx, request, answer)
-		return answer, nil
-	}
-	// The owner stops at the same deadline and knows whether the call ran.
-	// The peer call therefore continues past the deadline of ctx by
-	// answerGrace, unless the caller has disconnected.
-	graceCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), request.Remaining+answerGrace)
-	defer cancel()
-	defer context.AfterFunc(ctx, func() {
-		if errors.Is(ctx.Err(), context.Canceled) {
-			cancel()
-		}
-	})()
-	stop := e.watchAttempt(graceCtx, host, request, cancel)
-	answer, err := e.exchanger.exchange(graceCtx, host.Address, request)
-	unresponsive := stop()
-	if err != nil {
-		return nil, e.unansweredError(ctx, host, request, err, unresponsive)
-	}
-	e.liveness.markHeard(host.ID, time.Now())
-	if !answer.Matches(request) {
-		return nil, verdict.New(verdict.MayHaveRun, verdict.AnswerMismatch,
-			"host %s sent a damaged answer or one to another call", host.ID)
-	}
-	return answer, nil
-}
-
-// watchAttempt monitors the host during an attempt. If the host becomes unresponsive
-// and the request is repeatable, it calls giveUp so that the request can be sent to
-// another host. The returned function ends the monitoring and reports whether the
-// host became unresponsive.
-func (e *Entry) watchAttempt(ctx context.Context, host balance.Host, request *call.Request, giveUp func()) (stop func() bool) {
-	var unresponsive atomic.Bool
-	onUnresponsive := func() {
-		unresponsive.Store(true)
-		e.config.Balancer.RecordUnreachable(host.ID, time.Now())
-		eventUnresponsive.Log(event.Fields{"host": host.ID, "zone": host.Zone, "request": request.RequestID})
-		if !request.NonRepeatable {
-			giveUp()
-		}
+		return e.sendLocal(ctx, host, request)
 	}
-	watched, cancel := context.WithCancel(ctx)
-	// Most attempts end before pingAfter and need no goroutine.
-	timer := time.AfterFunc(pingAfter, func() {
-		if watched.Err() == nil {
-			e.wg.Go(func() { e.watchHost(watched, host, onUnresponsive) })
-		}
-	})
-	return func() bool {
-		timer.Stop()
-		cancel()
-		return unresponsive.Load()
-	}
-}
-
-// unansweredError returns the error of a peer call that ended without an answer,
-// and cancels the call at the owner if it was sent.
-func (e *Entry) unansweredError(ctx context.Context, host balance.Host, request *call.Request, err error, unresponsive bool) error {
-	if errors.Is(err, peer.ErrNotSent) {
-		e.config.Balancer.RecordUnreachable(host.ID, time.Now())
-		return verdict.New(verdict.NotRun, verdict.PeerUnreachable, "host %s: %v", host.ID, err)
+	a := e.startRemote(ctx, host, request)
+	defer a.follow(ctx)()
+	unresponsive := a.unresponsive
+	if request.NonRepeatable {
+		unresponsive = nil
 	}
-	e.wg.Go(func() { e.cancelRemote(host, request.ID) })
-	if errors.Is(ctx.Err(), context.Canceled) {
-		return verdict.New(verdict.MayHaveRun, verdict.Cancelled, "the caller went away")
-	}
-	if !unresponsive {
-		e.config.Balancer.RecordUnreachable(host.ID, time.Now())
-	}
-	if ctx.Err() != nil {
-		return verdict.New(verdict.MayHaveRun, verdict.DeadlineExceeded, "host %s did not answer in time", host.ID)
+	select {
+	case result := <-a.result:
+		return result
+	case <-unresponsive:
+		x.late.add(e, a)
+		failure := verdict.New(verdict.MayHaveRun, verdict.PeerExchangeBroken, "host %s is unresponsive", host.ID)
+		return &sendResult{host: host, err: failure}
 	}
-	return verdict.New(verdict.MayHaveRun, verdict.PeerExchangeBroken, "host %s: %v", host.ID, err)
 }
 
-// cancelRemote asks the owner on the host to cancel a call whose answer is no longer
-// awaited.
-func (e *Entry) cancelRemote(host balance.Host, id string) {
-	ctx, cancel := context.WithTimeout(context.Background(), cancelTimeout)
-	defer cancel()
-	_ = e.config.Peers.Call(ctx, host.Address, "Owner.Cancel", &call.Cancel{ID: id}, new(call.Cancel))
+// sendLocal passes the call to the owner on this host.
+func (e *Entry) sendLocal(ctx context.Context, host balance.Host, request *call.Request) *sendResult {
+	e.config.Balancer.Begin(host.ID)
+	defer e.config.Balancer.End(host.ID)
+	started := time.Now()
+	answer := new(call.Answer)
+	e.config.Owner.Call(ctx, request, answer)
+	return &sendResult{host: host, answer: answer, latency: time.Since(started)}
 }
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -213,6 +213,12 @@
 	// claimed is set when the claim stage starts to claim the request.
 	claimed bool
 	answer  *call.Answer
+	// fallback is the latest response of a backend server, which the caller gets if
+	// all later attempts fail.
+	fallback *call.Answer
+	// mayHaveRun is set once an attempt failed that may have run.
+	mayHaveRun bool
+	late       lateResults
 }
 
 // callerError returns err with the verdict to report to the caller. If a request
--- a/internal/entry/hedge.go
+++ b/internal/entry/hedge.go
@@ -120,7 +120,7 @@
 func (e *Entry) sendHedged(ctx context.Context, x *activeCall, host balance.Host, request *call.Request, excluded []string) *sendResult {
 	delay := e.hedgeDelay(x, request.Remaining)
 	if delay == 0 {
-		return e.sendTimed(ctx, host, request)
+		return e.send(ctx, x, host, request)
 	}
 	primaryCtx, cancelPrimary := context.WithCancel(ctx)
 	defer cancelPrimary()
@@ -134,7 +134,7 @@
 		}
 		hedgeResults <- hedge
 	})
-	primary := e.sendTimed(primaryCtx, host, request)
+	primary := e.send(primaryCtx, x, host, request)
 	if timer.Stop() {
 		return primary
 	}
@@ -182,12 +182,5 @@
 	}
 	metricHedges.Add(1)
 	e.log.hedged(x, host.ID)
-	return e.sendTimed(ctx, host, &hedge)
-}
-
-// sendTimed sends the call to a host and measures the latency.
-func (e *Entry) sendTimed(ctx context.Context, host balance.Host, request *call.Request) *sendResult {
-	started := time.Now()
-	answer, err := e.send(ctx, host, request)
-	return &sendResult{host: host, answer: answer, err: err, latency: time.Since(started)}
+	return e.send(ctx, x, host, &hedge)
 }
--- /dev/null
+++ b/internal/entry/late.go
@@ -0,0 +1,87 @@
+package entry
+
+import (
+	"context"
+	"sync"
+
+	"curranthold.example/curranthold/pkg/verdict"
+)
+
+// lateResults collects the results of those attempts of one call that go on at
+// unresponsive hosts while the call is sent to other hosts.
+type lateResults struct {
+	// ctx is the context of the call, and interrupt ends its other attempts once a
+	// late result is served.
+	ctx       context.Context
+	interrupt context.CancelFunc
+
+	mu      sync.Mutex
+	pending int
+	results chan *sendResult
+	closed  chan struct{}
+	stop    context.CancelFunc
+}
+
+// add leaves an attempt that has not ended to l.
+func (l *lateResults) add(e *Entry, a *remoteAttempt) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.results == nil {
+		l.results, l.closed = make(chan *sendResult), make(chan struct{})
+		l.ctx, l.stop = context.WithCancel(l.ctx)
+	}
+	l.pending++
+	results, closed := l.results, l.closed
+	unfollow := a.follow(l.ctx)
+	e.wg.Go(func() {
+		defer unfollow()
+		result := <-a.result
+		if result.served() {
+			l.interrupt()
+		}
+		select {
+		case results <- result:
+		case <-closed:
+		}
+	})
+}
+
+// next waits for the next result, at most answerGrace past the deadline of the call. It
+// returns nil if no attempt is left. No attempt may be added any more.
+func (l *lateResults) next() *sendResult {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.pending == 0 {
+		return nil
+	}
+	l.pending--
+	return <-l.results
+}
+
+// close ends the attempts whose results are still missing.
+func (l *lateResults) close() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.results != nil {
+		l.stop()
+		close(l.closed)
+	}
+}
+
+// awaitLate waits for the late results of a call whose other attempts failed, and
+// accepts the first response of a backend server among them. Without one, it returns the
+// error of the call.
+func (e *Entry) awaitLate(x *activeCall, failure *verdict.Error) error {
+	for {
+		result := x.late.next()
+		if result == nil {
+			return overallError(failure, x.mayHaveRun)
+		}
+		x.mayHaveRun = x.mayHaveRun || result.mayHaveRun()
+		err := e.accept(x, result)
+		if err == nil {
+			return nil
+		}
+		failure = verdict.From(err)
+	}
+}
--- /dev/null
+++ b/internal/entry/late_test.go
@@ -0,0 +1,113 @@
+package entry_test
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"curranthold.example/curranthold/internal/call"
+	"curranthold.example/curranthold/internal/entry"
+	"curranthold.example/curranthold/internal/peer"
+	"curranthold.example/curranthold/pkg/header"
+	"curranthold.example/curranthold/pkg/object"
+	"curranthold.example/curranthold/pkg/verdict"
+)
+
+// silentPeers are hosts that answer no ping. The calls sent to them, in the order of their
+// sending, are answered as listed.
+type silentPeers struct {
+	delayedPeers
+	outcomes []lateOutcome
+}
+
+// lateOutcome is an answer and the time after which it comes.
+type lateOutcome struct {
+	delay  time.Duration
+	answer *call.Answer
+}
+
+func newSilentPeers(outcomes ...lateOutcome) *silentPeers {
+	p := &silentPeers{outcomes: outcomes}
+	p.delay = func(n int64, _ *call.Request) time.Duration { return p.outcomes[n-1].delay }
+	p.answer = func(n int64, _ *call.Request) *call.Answer { return p.outcomes[n-1].answer }
+	return p
+}
+
+func (p *silentPeers) Call(ctx context.Context, address, method string, args, reply any) error {
+	if method == "Owner.Ping" {
+		<-ctx.Done()
+		return peer.ErrBroken
+	}
+	return p.delayedPeers.Call(ctx, address, method, args, reply)
+}
+
+// TestCallAtUnresponsiveHostGoesOn guards against a call that is given up at a backend server because its host answers no ping.
+func TestCallAtUnresponsiveHostGoesOn(t *testing.T) {
+	served := func(body string) *call.Answer { return &call.Answer{Status: http.StatusOK, Body: []byte(body)} }
+	const never = time.Hour
+	tests := map[string]struct {
+		path     string
+		outcomes []lateOutcome
+		verdict  verdict.Verdict
+		body     string
+		// sent is the number of attempts, and min and max bound the time of the call.
+		sent     int64
+		min, max time.Duration
+	}{
+		"one attempt": {
+			"/lookups",
+			[]lateOutcome{{900 * time.Millisecond, served("first")}},
+			verdict.Ran, "first", 1, 900 * time.Millisecond, 1300 * time.Millisecond,
+		},
+		"other host refuses": {
+			"/twice",
+			[]lateOutcome{{900 * time.Millisecond, served("first")}, {0, refusal(verdict.NotRun, verdict.Overloaded)}},
+			verdict.Ran, "first", 2, 900 * time.Millisecond, 1300 * time.Millisecond,
+		},
+		"other host is slower": {
+			"/twice",
+			[]lateOutcome{{900 * time.Millisecond, served("first")}, {1800 * time.Millisecond, served("second")}},
+			verdict.Ran, "first", 2, 900 * time.Millisecond, 1300 * time.Millisecond,
+		},
+		"first host is gone": {
+			"/twice",
+			[]lateOutcome{{never, nil}, {10 * time.Millisecond, served("second")}},
+			verdict.Ran, "second", 2, 300 * time.Millisecond, 900 * time.Millisecond,
+		},
+		"all hosts are gone": {
+			"/twice",
+			[]lateOutcome{{never, nil}, {never, nil}},
+			verdict.MayHaveRun, "", 2, 1900 * time.Millisecond, 2300 * time.Millisecond,
+		},
+		"late refusal": {
+			"/lookups",
+			[]lateOutcome{{900 * time.Millisecond, refusal(verdict.MayHaveRun, verdict.BackendBroken)}},
+			verdict.MayHaveRun, "", 1, 900 * time.Millisecond, 1300 * time.Millisecond,
+		},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			p := newSilentPeers(test.outcomes...)
+			e := newTokenlessEntry(t, map[string][]string{"peals": {"host-0", "host-1"}}, 10, map[string]object.Spec{
+				"peals":   object.ServiceSpec{},
+				"lookups": object.RouteSpec{PathPrefix: "/lookups", Service: "peals", Urgency: object.Normal, Open: true, Attempts: 1},
+				"twice":   object.RouteSpec{PathPrefix: "/twice", Service: "peals", Urgency: object.Normal, Open: true, Attempts: 2},
+			}, func(c *entry.Config) { c.Peers, c.DefaultTimeout = p, 2*time.Second })
+			recorder := httptest.NewRecorder()
+			start := time.Now()
+			e.CallerHandler().ServeHTTP(recorder, httptest.NewRequest(http.MethodGet, test.path, nil))
+			took := time.Since(start)
+			qt.Check(t, recorder.Header().Get(header.Verdict), qt.Equals, test.verdict.String())
+			if test.body != "" {
+				qt.Check(t, recorder.Body.String(), qt.Equals, test.body)
+			}
+			qt.Check(t, p.sent.Load(), qt.Equals, test.sent)
+			qt.Check(t, took >= test.min && took <= test.max, qt.IsTrue, qt.Commentf("%v", took))
+		})
+	}
+}
