Leave nested calls of cancelled parents alone during a planned stop

What callers saw: 50 ms after a parent was cancelled (its entry took another host's answer, or gave it up), a leaving node answered 502 to the parent's nested call, although another backend server was at work on that call. A backend server that doesn't drop its calls when its own request is dropped read this as a failure.

Cause: the nested call ends with its parent, after the time in which most backend servers drop it.

While the node leaves, the nested call now goes on until its caller drops it, until its deadline, or until the shutdown time. At other times nothing changes: TestNestedCallEndsWithItsParent is as it was.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -12,6 +12,7 @@
 	"context"
 	"net/http"
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"github.com/sourcegraph/conc"
@@ -134,7 +135,9 @@
 	bodies capacityLimit
 	root   kernel.Handler[*activeCall]
 	nested kernel.Handler[*activeCall]
-	wg     conc.WaitGroup
+	// leaving is set by Leave.
+	leaving atomic.Bool
+	wg      conc.WaitGroup
 }
 
 // New returns an entry with the given configuration.
@@ -176,6 +179,10 @@
 // liveness of other hosts.
 func (e *Entry) SetHosts(present map[string]bool) { e.liveness.retain(present) }
 
+// Leave tells the entry that this node shuts down. From then on a nested call goes on
+// after its parent has ended, until its caller drops it or its deadline passes.
+func (e *Entry) Leave() { e.leaving.Store(true) }
+
 // Close waits for background messages to finish. No call may be running.
 func (e *Entry) Close() error {
 	e.wg.Wait()
@@ -311,7 +318,7 @@
 	x.request.Repeated = x.inferredParent.Request().Repeated
 	x.request.Progress = x.inferredParent.Progress()
 	defer x.inferredParent.BeginNested()()
-	ctx, cancel := nestedContext(ctx, x.inferredParent)
+	ctx, cancel := e.nestedContext(ctx, x.inferredParent)
 	defer cancel()
 	err := e.root(ctx, x)
 	x.reportToParent(x.inferredParent, err)
@@ -336,7 +343,7 @@
 	}
 	inherit(x, parent)
 	defer parent.BeginNested()()
-	ctx, cancel := nestedContext(r.Context(), parent)
+	ctx, cancel := e.nestedContext(r.Context(), parent)
 	defer cancel()
 	err := e.nested(ctx, x)
 	x.reportToParent(parent, err)
@@ -345,14 +352,20 @@
 
 // nestedContext returns the context of a nested call. It ends when the backend server
 // closes the request, whose context is ctx, at the parent's deadline, and callerDropTime
-// after the parent ended otherwise.
-func nestedContext(ctx context.Context, parent *owner.Parent) (context.Context, context.CancelFunc) {
+// after the parent ended otherwise, unless this node leaves.
+func (e *Entry) nestedContext(ctx context.Context, parent *owner.Parent) (context.Context, context.CancelFunc) {
 	deadline, ok := parent.Context().Deadline()
 	if !ok {
 		deadline = time.Now().Add(maxTimeout)
 	}
 	ctx, cancel := context.WithDeadline(ctx, deadline)
-	stop := context.AfterFunc(parent.Context(), func() { time.AfterFunc(callerDropTime, cancel) })
+	stop := context.AfterFunc(parent.Context(), func() {
+		time.AfterFunc(callerDropTime, func() {
+			if !e.leaving.Load() {
+				cancel()
+			}
+		})
+	})
 	return ctx, func() {
 		stop()
 		cancel()
--- a/internal/entry/parent_test.go
+++ b/internal/entry/parent_test.go
@@ -54,7 +54,7 @@
 
 // cancelParent has a nestingServer serve a request, cancels it, and returns how long
 // after that the nested call ended, and its error.
-func cancelParent(t *testing.T, dropAfter time.Duration) (time.Duration, error) {
+func cancelParent(t *testing.T, dropAfter time.Duration, leaving bool) (time.Duration, error) {
 	s := &nestingServer{dropAfter: dropAfter, running: make(chan struct{}, 1), ended: make(chan error, 1)}
 	backend := httptest.NewServer(s)
 	t.Cleanup(backend.Close)
@@ -70,6 +70,9 @@
 		"peals":   object.ServiceSpec{},
 		"lookups": object.RouteSpec{PathPrefix: "/lookups", Service: "peals", Urgency: object.Normal, Open: true, Attempts: 1},
 	}, func(c *entry.Config) { c.Codec, c.Peers, c.Owner = parentCodec{}, p, o })
+	if leaving {
+		e.Leave()
+	}
 	callers := httptest.NewServer(e.CallerHandler())
 	t.Cleanup(callers.Close)
 	s.entry = callers.URL
@@ -90,14 +93,21 @@
 
 // TestNestedCallOfCancelledParentGetsNoAnswer guards against an answer of the entry's own to a call that its caller is about to drop.
 func TestNestedCallOfCancelledParentGetsNoAnswer(t *testing.T) {
-	_, err := cancelParent(t, 10*time.Millisecond)
+	_, err := cancelParent(t, 10*time.Millisecond, false)
 	qt.Assert(t, err, qt.ErrorIs, context.Canceled)
 }
 
 // TestNestedCallEndsWithItsParent cancels the parent of a nested call whose caller goes on
 // waiting. The nested call must end soon.
 func TestNestedCallEndsWithItsParent(t *testing.T) {
-	took, err := cancelParent(t, 10*time.Second)
+	took, err := cancelParent(t, 10*time.Second, false)
 	qt.Assert(t, err, qt.IsNil)
 	qt.Assert(t, took < 250*time.Millisecond, qt.IsTrue, qt.Commentf("after %v", took))
 }
+
+// TestNestedCallIsNotGivenUpWhileLeaving guards against a node that answers in place of a backend server at work, because the parent was cancelled during a planned stop.
+func TestNestedCallIsNotGivenUpWhileLeaving(t *testing.T) {
+	took, err := cancelParent(t, 400*time.Millisecond, true)
+	qt.Check(t, err, qt.ErrorIs, context.Canceled)
+	qt.Check(t, took >= 350*time.Millisecond, qt.IsTrue, qt.Commentf("after %v", took))
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -294,6 +294,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), n.settings.ShutdownTimeout())
 	defer cancel()
 	calls.setState(drainServing)
+	n.entry.Leave()
 	n.members.Leave(ctx)
 	sleep(ctx, n.settings.LeaveNoticePeriod())
 	n.admission.Drain()
