Keep a peer connection open for its other calls when one can't be sent

What callers would see: all calls in progress between two nodes end with 502 at once because one message between them is too large for a frame or can't be encoded.

Cause: the pool closed the connection after any error that the other node had not returned, and one connection carries all calls to a node.

The pool now retires such a connection: it takes no further call, and is closed when its calls have ended. After a failed request nothing more is sent on it, since the other side may have missed a part of the gob stream; a call that was about to be sent there ends as not sent. A connection that is really broken fails for its other calls through its reader, as before.

Evidence: TestFailedSendLeavesOtherCallsAlone failed before ("exchange broken: use of closed network connection").

--- a/internal/peer/codec.go
+++ b/internal/peer/codec.go
@@ -76,17 +76,26 @@
 }
 
 // clientCodec implements rpc.ClientCodec.
-type clientCodec struct{ *gobConn }
+type clientCodec struct {
+	*gobConn
+	// sendErr is the first error of a request. The other side may have missed a part
+	// of the gob stream then, so no further request is sent.
+	sendErr error
+}
 
-func (c clientCodec) WriteRequest(r *rpc.Request, body any) error {
+func (c *clientCodec) WriteRequest(r *rpc.Request, body any) error {
+	if c.sendErr != nil {
+		return c.sendErr
+	}
 	request := body.(*requestBody)
 	request.started.Store(true)
-	return c.send(r, request.args, r.ServiceMethod)
+	c.sendErr = c.send(r, request.args, r.ServiceMethod)
+	return c.sendErr
 }
 
-func (c clientCodec) ReadResponseHeader(r *rpc.Response) error { return c.receiveHeader(r) }
-func (c clientCodec) ReadResponseBody(body any) error          { return c.receiveBody(body) }
-func (c clientCodec) Close() error                             { return c.conn.Close() }
+func (c *clientCodec) ReadResponseHeader(r *rpc.Response) error { return c.receiveHeader(r) }
+func (c *clientCodec) ReadResponseBody(body any) error          { return c.receiveBody(body) }
+func (c *clientCodec) Close() error                             { return c.conn.Close() }
 
 // serverCodec implements rpc.ServerCodec.
 type serverCodec struct{ *gobConn }
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -162,6 +163,22 @@
 	qt.Check(t, <-closed, qt.IsNil)
 }
 
+// TestFailedSendLeavesOtherCallsAlone guards against a call too large to be sent that breaks all calls in progress on its connection.
+func TestFailedSendLeavesOtherCallsAlone(t *testing.T) {
+	receiver := &echo{entered: make(chan struct{})}
+	address, _ := serve(t, new(recordedGenerations), receiver)
+	pool := newPool(t, secret, new(recordedGenerations))
+	answered := make(chan error, 1)
+	go func() { answered <- pool.Call(context.Background(), address, "Echo.Hang", &Text{}, &Text{}) }()
+	<-receiver.entered
+
+	tooLarge := &Text{strings.Repeat("x", peer.MaxFrameBytes+1)}
+	qt.Check(t, pool.Call(context.Background(), address, "Echo.Say", tooLarge, &Text{}), qt.IsNotNil)
+	receiver.entered <- struct{}{}
+	qt.Check(t, <-answered, qt.IsNil)
+	qt.Check(t, pool.Call(context.Background(), address, "Echo.Say", &Text{"small"}, &Text{}), qt.IsNil)
+}
+
 // TestInvalidHandshakes connects with clients that do not complete the handshake.
 // The server must close their connections and continue to serve other nodes.
 func TestInvalidHandshakes(t *testing.T) {
--- a/internal/peer/pool.go
+++ b/internal/peer/pool.go
@@ -32,8 +32,10 @@
 	mu     sync.Mutex
 	closed bool
 	conns  map[string]*pooledConn
-	done   chan struct{}
-	wg     conc.WaitGroup
+	// retired holds the connections that take no more calls but still have some.
+	retired map[*pooledConn]struct{}
+	done    chan struct{}
+	wg      conc.WaitGroup
 }
 
 // pooledConn is one connection of a pool, or an attempt to open one. The channel
@@ -53,6 +55,7 @@
 		address:     address,
 		generations: generations,
 		conns:       make(map[string]*pooledConn),
+		retired:     make(map[*pooledConn]struct{}),
 		done:        make(chan struct{}),
 	}
 	p.wg.Go(p.closeIdle)
@@ -80,13 +83,13 @@
 }
 
 // outcome converts the error of a finished net/rpc call to one that Call returns,
-// and discards the connection if it is broken.
+// and retires the connection if it may be broken.
 func (p *Pool) outcome(address string, c *pooledConn, request *requestBody, err error) error {
 	var remote rpc.ServerError
 	if err == nil || errors.As(err, &remote) {
 		return err
 	}
-	p.discard(address, c)
+	p.retire(address, c)
 	if !request.started.Load() {
 		callsNotSent.Add(1)
 		return fmt.Errorf("%w: %s: %w", ErrNotSent, address, err)
@@ -129,6 +132,10 @@
 	defer p.mu.Unlock()
 	c.inUse--
 	c.lastUsed = time.Now()
+	if _, retired := p.retired[c]; retired && c.inUse == 0 {
+		delete(p.retired, c)
+		_ = c.client.Close()
+	}
 }
 
 // open dials the address and performs the handshake.
@@ -160,7 +167,7 @@
 		return nil, err
 	}
 	connectionsOpened.Add(1)
-	return rpc.NewClientWithCodec(clientCodec{newGobConn(conn, reader, p.generations, address)}), nil
+	return rpc.NewClientWithCodec(&clientCodec{gobConn: newGobConn(conn, reader, p.generations, address)}), nil
 }
 
 // localAddr returns the local address for outgoing connections: the IP address of
@@ -174,14 +181,15 @@
 	return &net.TCPAddr{IP: own.Addr().AsSlice()}
 }
 
-// discard removes a broken connection from the pool and closes it.
-func (p *Pool) discard(address string, c *pooledConn) {
+// retire removes a connection from the pool. It is closed once its calls have ended: the
+// failure of one of them need not affect the others.
+func (p *Pool) retire(address string, c *pooledConn) {
 	p.mu.Lock()
+	defer p.mu.Unlock()
 	if p.conns[address] == c {
 		delete(p.conns, address)
 	}
-	p.mu.Unlock()
-	_ = c.client.Close()
+	p.retired[c] = struct{}{}
 }
 
 // closeIdle closes connections that have been idle for longer than idleTimeout,
@@ -228,6 +236,9 @@
 			_ = c.client.Close()
 		}
 	}
+	for c := range p.retired {
+		_ = c.client.Close()
+	}
 	p.mu.Unlock()
 	p.wg.Wait()
 	return nil
