Let a node that was never ready finish its calls before it stops

What callers saw: a node that was asked to stop before it had become ready (soon after its start, or with the store away) cancelled the calls that its backend server was running. Their entries got may-have-run, the callers 502.

Cause: only a ready node leaves in order. But a node runs calls of other hosts as soon as its backend server has announced itself, and with an adapter also those of its own callers once it has any configuration.

Every node now leaves in order, whether it was ready or not.

Evidence: TestStopBeforeReadyFinishesCalls got "cancelled (may-have-run): backend server: context canceled" at once; now it gets the backend server's answer, 0.5 s later.

Ruled out: announcing no backend server before the node is ready. Hosts would be missing for as long as the store is away.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -264,9 +264,9 @@
 		ready()
 		<-ctx.Done()
 		n.accepting.Store(false)
-		n.leave(callers, calls)
 	case <-ctx.Done():
 	}
+	n.leave(callers, calls)
 	return n.shutDown(stop)
 }
 
@@ -288,7 +288,7 @@
 // leave announces to the other nodes that this node is leaving, serves calls for
 // the notice period, then refuses new calls and waits for the running ones. The caller
 // listener stays open until the backend server's calls have ended, since these may have
-// nested calls.
+// nested calls. callers is nil if the caller listener was not served yet.
 func (n *Node) leave(callers *http.Server, calls *drainHandler) {
 	eventLeaving.Log(event.Fields{"host": n.settings.Host})
 	ctx, cancel := context.WithTimeout(context.Background(), n.settings.ShutdownTimeout())
@@ -305,6 +305,9 @@
 	case <-ctx.Done():
 		eventShutdownCutShort.Log(event.Fields{"error": "calls were still running"})
 	}
+	if callers == nil {
+		return
+	}
 	n.listeners.caller.drainBacklog()
 	if err := callers.Shutdown(ctx); err != nil {
 		eventShutdownCutShort.Log(event.Fields{"error": err.Error()})
