Keep generations of a refused older copy below the next version of the store

Seen in a test: the store came back from an older copy and a host started from it before operators had written their document again. The change that they declared next was not in force on any host, and nothing was logged, until the change after it.

Cause: hosts that refuse the older copy keep their objects under the generation above its own, which was the generation of the store's next version. If that version held a change that the hosts did not have, the feed reported a generation that was in force already, and no host read it.

Change: in eras after the first each version has 100 generations, and the kept objects get one between the older copy's version and the next. A generation stays above the copy's for as many refusals in turn as there are hosts with different revisions. In the first era, in which nothing is refused, generations equal the versions as before.

Ruled out: comparing revisions where generations are equal, which zones out of service do not have, and which the wait for another host's push cannot see.

--- a/internal/configuration/era.go
+++ b/internal/configuration/era.go
@@ -9,16 +9,25 @@
 // write again are not yet taken for complete.
 const restoreSettleTime = time.Second
 
-// eraSpan is the number of generations in one era of a source. It exceeds the versions
-// that a store gives out in its lifetime, and shows the era in logged generations.
-const eraSpan = 1_000_000_000_000
+const (
+	// eraSpan is the number of generations in one era of a source. It shows the era in
+	// logged generations.
+	eraSpan = 100_000_000_000_000
+	// versionSpan is the number of generations for one version in a later era than the
+	// first. Those after the lowest one are for hosts that refuse an older configuration
+	// of that version, so that the next version is still later.
+	versionSpan = 100
+)
 
 // NewGeneration returns the generation for a version of a source's store in an era. A
 // store starts in era 1. Each time it comes back from an older copy, its era rises by
 // one and its versions go back. Generations of a later era are higher than all earlier
 // ones. Era 0 stands for a store that states none.
 func NewGeneration(era, version uint64) uint64 {
-	return (max(era, 1)-1)*eraSpan + version
+	if era <= 1 {
+		return version
+	}
+	return (era-1)*eraSpan + version*versionSpan
 }
 
 // Era returns the era of a generation.
@@ -26,7 +35,12 @@
 
 // VersionInEra returns the version of the source's store from which a generation was
 // made.
-func VersionInEra(generation uint64) uint64 { return generation % eraSpan }
+func VersionInEra(generation uint64) uint64 {
+	if generation < eraSpan {
+		return generation
+	}
+	return generation % eraSpan / versionSpan
+}
 
 // sourceEra is the highest era in which a source has answered. The zero value has seen no
 // answer.
--- a/internal/configuration/source_restored_test.go
+++ b/internal/configuration/source_restored_test.go
@@ -245,6 +245,37 @@
 	}
 }
 
+// TestChangeAfterHostsRefusedOlderCopy guards against a change that is taken for the
+// configuration that hosts kept when they refused an older copy.
+func TestChangeAfterHostsRefusedOlderCopy(t *testing.T) {
+	tests := map[string]struct{ unrelated uint64 }{
+		"next version":  {unrelated: 0},
+		"later version": {unrelated: 5},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				store := newRestorableStore()
+				store.declare(3)
+				older := store.copy()
+				f := restorableFleet(t, store)
+				defer f.stopAll()
+				store.declare(7)
+				time.Sleep(sourceInForce)
+
+				store.restore(older)
+				f.start(f.hosts[3])
+				time.Sleep(settledAfterStart)
+				f.checkRevision(t, 7)
+				store.writeUnrelated(test.unrelated)
+				store.declare(8)
+				time.Sleep(sourceInForce)
+				f.checkRevision(t, 8)
+			})
+		})
+	}
+}
+
 // TestSecondRestore guards against a fleet that survives one restore only.
 func TestSecondRestore(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
@@ -311,3 +342,4 @@
 		})
 	}
 }
+
