--- a/internal/configuration/source_restored_test.go
+++ b/internal/configuration/source_restored_test.go
@@ -342,4 +342,3 @@
 		})
 	}
 }
-
