Take a read that another host's push overtook for no older copy

Seen in a test: a host that watches the source reads a configuration, is sent a later one by another host before the answer arrives, and treats the answer as that of a store which came back from an older copy. It logs event 510, on which operators are told to declare their document again, asks a host of each other zone, and watches the source again only after 0.3 s or more.

Cause: revisions were compared before the times of the reads. A read that is no later than the generation in force holds nothing that the host lacks, whatever its revision.

Evidence: TestLateAnswerIsNotAnOlderCopy; both cases of a late answer failed before. A read that is later than the one in force, or in a later era, is refused as before.

--- a/internal/configuration/source.go
+++ b/internal/configuration/source.go
@@ -194,8 +194,8 @@
 	return declared.AsOf, true
 }
 
-// applyDeclared applies a declared configuration unless the node already has it. It
-// returns errSourceOlder if operators declared the one in force later, and
+// applyDeclared applies a declared configuration unless the node already has it or was sent
+// a later one since the read. It returns errSourceOlder if operators declared the one in force later, and
 // errSourceUnsettled if the source may lack parts that operators are about to write again.
 // Removing a part does not raise Declared.Generation, so that it may be no higher than
 // the node's generation although the objects differ. In that case AsOf becomes the
@@ -206,6 +206,9 @@
 		objects[o.ID()] = o
 	}
 	current := r.Snapshot()
+	if max(declared.Generation, declared.AsOf) <= current.generation {
+		return nil
+	}
 	if declared.Revision != 0 && declared.Revision < current.revision {
 		if r.olderRevision.Swap(declared.Revision) != declared.Revision {
 			eventSourceOlder.Log(event.Fields{
@@ -218,7 +221,7 @@
 		return errSourceUnsettled
 	}
 	if declared.Generation <= current.generation {
-		if declared.AsOf <= current.generation || reflect.DeepEqual(current.objects, objects) {
+		if reflect.DeepEqual(current.objects, objects) {
 			return nil
 		}
 		declared.Generation = declared.AsOf
--- a/internal/configuration/source_restored_test.go
+++ b/internal/configuration/source_restored_test.go
@@ -276,6 +276,29 @@
 	}
 }
 
+// TestLateAnswerIsNotAnOlderCopy guards against a read that was overtaken by another host's push
+// and counts as one from an older copy.
+func TestLateAnswerIsNotAnOlderCopy(t *testing.T) {
+	tests := map[string]struct {
+		asOf uint64
+		want error
+	}{
+		"read before the one in force": {asOf: NewGeneration(1, 19)},
+		"read with the one in force":   {asOf: NewGeneration(1, 20)},
+		"read later":                   {asOf: NewGeneration(1, 21), want: errSourceOlder},
+		"read in a later era":          {asOf: NewGeneration(2, 18), want: errSourceOlder},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			r := New(Config{Host: "own", Zone: "a"})
+			r.state.Store(newState(&Snapshot{generation: NewGeneration(1, 20), revision: 8}))
+			err := r.applyDeclared(t.Context(), Declared{Generation: test.asOf - 1, Revision: 7, AsOf: test.asOf})
+			qt.Check(t, err, qt.Equals, test.want)
+			qt.Check(t, r.olderRevision.Load() != 0, qt.Equals, test.want != nil)
+		})
+	}
+}
+
 // TestSecondRestore guards against a fleet that survives one restore only.
 func TestSecondRestore(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
