Start without waiting for a seed that does not answer

A node that started knew no other host while its first seeds did not answer: it asked its seeds one after the other, and waited 3 s for each. Seeds may be stale or down. In that time its callers get nothing from services of other hosts, and it fills buckets of client accounts by itself.

Evidence: TestSilentSeedsDelayNoStart, a node with three seeds of which the first two do not answer, in a fleet of six. After 1 s it knew 1 member, itself; now all 7.

The node now asks the next seed after 300 ms without an answer, the time of a probe, and reads the directory 300 ms after the last. An answer that comes later still counts. With seeds that answer, the messages are the same as before.

Ruled out: asking all seeds at once (each sends its whole roster, in place of what the one before did not have).

--- a/internal/membership/directory.go
+++ b/internal/membership/directory.go
@@ -6,6 +6,7 @@
 	"errors"
 	"math/rand/v2"
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"curranthold.example/curranthold/internal/event"
@@ -168,9 +169,25 @@
 	l.syncWithDirectory(ctx, true)
 }
 
-// syncWithSeeds reports whether a seed other than this node answered.
+// syncWithSeeds synchronizes with the seeds and reports whether one other than this node
+// answered. It goes on to the next if a seed has not answered within probeTimeout, but
+// still uses a later answer.
 func (l *List) syncWithSeeds(ctx context.Context) bool {
-	return l.syncWithAll(ctx, l.config.Seeds)
+	var answered atomic.Bool
+	for _, seed := range l.config.Seeds {
+		done := make(chan struct{})
+		l.wg.Go(func() {
+			defer close(done)
+			if l.syncWithAll(ctx, []string{seed}) {
+				answered.Store(true)
+			}
+		})
+		select {
+		case <-done:
+		case <-time.After(probeTimeout):
+		}
+	}
+	return answered.Load()
 }
 
 // syncWithDirectory synchronizes with a few hosts of the directory, as syncWithRows does.
--- a/internal/membership/list_test.go
+++ b/internal/membership/list_test.go
@@ -106,6 +106,20 @@
 	})
 }
 
+// TestSilentSeedsDelayNoStart guards against a node that knows no other while its first seeds do not answer.
+func TestSilentSeedsDelayNoStart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(context.Background())
+		n := &network{lists: make(map[string]*List)}
+		lists := startFleet(ctx, n)
+		time.Sleep(3 * time.Second)
+		started := n.start(ctx, "a3", "a", "down-0", "down-1", "a0")
+		time.Sleep(time.Second)
+		qt.Check(t, liveCount(started), qt.Equals, len(lists)+1)
+		stopAll(cancel, append(lists, started))
+	})
+}
+
 // TestSilentMemberIsDeadWithinEightSeconds drops all messages to and from one
 // member; the others must declare it dead.
 func TestSilentMemberIsDeadWithinEightSeconds(t *testing.T) {
