Spread the renewals of the directory's rows by the number of hosts

Each host writes its row again after the store came back. The writes were spread over 1 s whatever the number of hosts: 8,060 writes in 1 s exceed what one part of the store takes (200 transactions a second), which the operators' rows share, so that a change declared just then would wait.

They are spread over 10 ms a host now, at least 1 s, and the read that lets groups of hosts meet waits as long on a timer, so that a newer return of the store does not wait for it.

Evidence: TestHostFindsFleetAfterDirectoryIsLost, 40 rows within 0.91 to 1.00 s and 300 within 2.99 to 3.00 s (the case of 300 fails with the spread of before), one write each; TestHostsThatStartAfterALossFindTheOthers, all know each other in 1.3 to 4.0 s.

--- a/internal/membership/directory.go
+++ b/internal/membership/directory.go
@@ -26,9 +26,11 @@
 	// directoryRetryInterval is the time between two attempts to write this
 	// host's row.
 	directoryRetryInterval = 2 * time.Second
-	// renewalSpread is the time over which the hosts spread the writes with which they
-	// renew their rows.
-	renewalSpread = time.Second
+	// The hosts spread the writes with which they renew their rows over
+	// renewalIntervalPerMember times the number of live members, and at least
+	// minRenewalSpread.
+	renewalIntervalPerMember = 10 * time.Millisecond
+	minRenewalSpread         = time.Second
 )
 
 // directoryRow is the value of a host's row in the directory.
@@ -41,9 +43,9 @@
 
 func directoryKey(zone, id string) string { return directoryPrefix + zone + "/" + id }
 
-// RenewDirectoryRow makes the node write its row in the directory again, within
-// renewalSpread or as soon as the table is available. It must be called whenever the
-// table has come back from an older copy, which may lack the row.
+// RenewDirectoryRow makes the node write its row in the directory again, at a random time
+// within the renewal spread or as soon as the table is available. It must be called
+// whenever the table has come back from an older copy, which may lack the row.
 func (l *List) RenewDirectoryRow() {
 	select {
 	case l.renewals <- struct{}{}:
@@ -59,25 +61,30 @@
 	if l.config.Table == nil {
 		return
 	}
+	var othersRenewed <-chan time.Time
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-l.done:
 			return
+		case <-othersRenewed:
+			l.syncWithUnknown(ctx)
 		case <-l.renewals:
+			if !l.pause(ctx, rand.N(l.renewalSpread())) || !l.enterDirectory(ctx) {
+				return
+			}
+			eventDirectoryRenewed.Log(event.Fields{"host": l.config.ID})
+			othersRenewed = time.After(l.renewalSpread())
 		}
-		if !l.pause(ctx, rand.N(renewalSpread)) || !l.enterDirectory(ctx) {
-			return
-		}
-		eventDirectoryRenewed.Log(event.Fields{"host": l.config.ID})
-		if !l.pause(ctx, renewalSpread) {
-			return
-		}
-		l.syncWithUnknown(ctx)
 	}
 }
 
+// renewalSpread returns the time over which the hosts spread the writes of their rows.
+func (l *List) renewalSpread() time.Duration {
+	return max(minRenewalSpread, renewalIntervalPerMember*time.Duration(len(l.Members())))
+}
+
 // join finds other nodes and writes this host's row to the directory, retrying
 // while the table is unavailable. Before the write, it reads the directory only if
 // no seed answers. After the write, it always reads it, so that of two nodes that
