Take a share of the rate in place of buckets until another host is known

A process that had just started and knew no other host took itself for the home of all client accounts, and filled a bucket for each at the whole rate. That lasts some 0.1 s as a rule, but longer if the hosts that it asks first do not answer. Several hosts that are restarted together so exceeded the rate of an account that is far above it.

The process now spends an equal share of the rate for each host that the platform's directory lists, an eighth before it has read the directory, and reports to no home, until it knows another host, or reads a directory that lists no other, or for 30 s. With one host nothing changes. A fleet that runs while the store is away is not affected, as its processes know each other.

Tried and left: reporting what was spent by then to the home that is found.

--- a/internal/membership/directory.go
+++ b/internal/membership/directory.go
@@ -241,6 +241,17 @@
 	}
 }
 
+// countListed returns the number of hosts in the directory, this one included.
+func (l *List) countListed(listed []directoryRow) int64 {
+	count := int64(1)
+	for _, row := range listed {
+		if row.ID != l.config.ID {
+			count++
+		}
+	}
+	return count
+}
+
 // syncWithAll synchronizes with each of the addresses, except for that of this
 // node, and reports whether any of them answered.
 func (l *List) syncWithAll(ctx context.Context, addresses []string) bool {
@@ -257,6 +268,7 @@
 // the error and returns the rows that it read before.
 func (l *List) listDirectory(ctx context.Context) []directoryRow {
 	if l.config.Table == nil {
+		l.expectedHosts.Store(l.countListed(nil))
 		return nil
 	}
 	var listed []directoryRow
@@ -274,6 +286,7 @@
 			}
 		}
 		if len(rows) < directoryPageSize {
+			l.expectedHosts.Store(l.countListed(listed))
 			return listed
 		}
 		after = rows[len(rows)-1].Key
--- a/internal/membership/directory_test.go
+++ b/internal/membership/directory_test.go
@@ -54,3 +54,43 @@
 		})
 	}
 }
+
+// listTable is a directory that lists hosts, or cannot be read.
+type listTable struct {
+	countingTable
+	keys []string
+	err  error
+}
+
+func (t *listTable) List(context.Context, string, string, int) ([]platform.Row, error) {
+	var rows []platform.Row
+	for _, id := range t.keys {
+		rows = append(rows, platform.Row{Key: directoryKey("z", id), Value: []byte(`{"id":"` + id + `"}`)})
+	}
+	return rows, t.err
+}
+
+// TestExpectedHosts checks how many hosts a node expects that reaches none of them.
+func TestExpectedHosts(t *testing.T) {
+	tests := map[string]struct {
+		table listTable
+		want  int
+	}{
+		"own row and others":        {table: listTable{keys: []string{"own", "a", "b"}}, want: 3},
+		"others only":               {table: listTable{keys: []string{"a", "b"}}, want: 3},
+		"own row only":              {table: listTable{keys: []string{"own"}}, want: 1},
+		"directory cannot be read":  {table: listTable{err: platform.ErrUnavailable}, want: assumedHosts},
+		"directory is read in part": {table: listTable{keys: []string{"a"}, err: platform.ErrUnavailable}, want: assumedHosts},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			l := New(Config{ID: "own", Zone: "z", Address: "own", Table: &test.table, Peers: errorCaller{peer.ErrNotSent}})
+			qt.Assert(t, l.ExpectedHosts(), qt.Equals, assumedHosts)
+			ctx, cancel := context.WithCancel(context.Background())
+			defer cancel()
+			go l.serveInbox(ctx)
+			l.join(ctx)
+			qt.Assert(t, l.ExpectedHosts(), qt.Equals, test.want)
+		})
+	}
+}
--- a/internal/membership/list.go
+++ b/internal/membership/list.go
@@ -33,6 +33,9 @@
 	// time between two publications. The cost of a publication grows with the
 	// number of members, so this bounds the CPU time that publishing takes.
 	publishIntervalPerMember = 260 * time.Microsecond
+	// assumedHosts is the number of hosts that a node expects before it has read the
+	// directory.
+	assumedHosts = 8
 )
 
 // errClosed is returned by operations on a closed list.
@@ -58,6 +61,9 @@
 	roster      *roster
 	probeOrder  []string
 	snapshot    atomic.Pointer[[]Member]
+	// expectedHosts is the number of hosts in the directory at its last reading, and
+	// assumedHosts before the first.
+	expectedHosts atomic.Int64
 	// nextPublish is the earliest time of the next publication.
 	nextPublish time.Time
 
@@ -93,6 +99,7 @@
 		inbox:       make(chan func(), 64),
 		done:        make(chan struct{}),
 	}
+	l.expectedHosts.Store(assumedHosts)
 	members := l.roster.live()
 	l.snapshot.Store(&members)
 	return l
@@ -105,6 +112,10 @@
 // the slice.
 func (l *List) Members() []Member { return *l.snapshot.Load() }
 
+// ExpectedHosts returns how many hosts there may be, this one included, as far as is known
+// while no other answers: the number in the directory, which may list hosts that ended.
+func (l *List) ExpectedHosts() int { return int(l.expectedHosts.Load()) }
+
 // Subscribe registers f to be called with each new set of live members, one call
 // at a time. It must be called before Run.
 func (l *List) Subscribe(f func([]Member)) {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -147,6 +147,7 @@
 	if n.adapter.external() {
 		n.tally = tally.New(tally.Config{
 			Host: s.Host, Zone: s.AvailabilityZone, Incarnation: n.members.Incarnation(), Peers: n.pool,
+			ExpectedHosts: n.members.ExpectedHosts,
 		})
 	} else {
 		n.quota = quota.New(quota.Config{
--- a/internal/tally/account.go
+++ b/internal/tally/account.go
@@ -23,7 +23,7 @@
 	// first.
 	hosts int
 	// total counts the tokens spent by this host, and acknowledged those of them that a
-	// home has acknowledged in an answer.
+	// home has acknowledged in an answer, or that this host spent of its fixed share.
 	total, acknowledged uint64
 	// lastReport is when the last report was sent, lastAnswer when a home last
 	// answered one.
@@ -73,17 +73,22 @@
 
 // advance updates the estimate to the time now. If no home has answered for
 // isolationTimeout and this host has unreported tokens or refused a request, the
-// estimate grows at the host's even share of the account's rate (the fraction
-// evenFraction), or at its recent spend rate if that is higher, up to half of the rate.
-func (a *account) advance(now time.Time, evenFraction float64) {
+// estimate grows at the host's even share of the account's rate, or at its recent spend
+// rate if that is higher, up to half of the rate. If the share is fixed, it grows at the
+// even share only.
+func (a *account) advance(now time.Time, s share) {
 	elapsed := now.Sub(a.updated).Seconds()
 	if elapsed <= 0 {
 		return
 	}
 	a.updated = now
 	growthRate := a.growthRate(now)
-	if now.Sub(a.lastAnswer) > isolationTimeout && (a.refusedSinceReport || a.total != a.acknowledged) {
-		growthRate = max(a.limit.Rate*evenFraction, min(a.spendRate.rate(now), a.limit.Rate/2))
+	evenShare := a.limit.Rate * s.even
+	switch {
+	case s.fixed:
+		growthRate = evenShare
+	case now.Sub(a.lastAnswer) > isolationTimeout && (a.refusedSinceReport || a.total != a.acknowledged):
+		growthRate = max(evenShare, min(a.spendRate.rate(now), a.limit.Rate/2))
 	}
 	a.level = min(a.level+growthRate*elapsed, capacity(a.limit))
 }
@@ -108,11 +113,11 @@
 }
 
 // spend takes a token and reports whether one was available.
-func (a *account) spend(now time.Time, evenFraction float64) bool {
+func (a *account) spend(now time.Time, s share) bool {
 	if a.limit.Rate <= 0 {
 		return true
 	}
-	a.advance(now, evenFraction)
+	a.advance(now, s)
 	if a.level < 1 {
 		a.refusedSinceReport = true
 		return false
@@ -120,17 +125,20 @@
 	a.level--
 	a.total++
 	a.spendRate.add(1, now)
+	if s.fixed {
+		a.acknowledged++
+	}
 	return true
 }
 
 // retryAfter returns the time after which to retry a refused request. The retries of
 // refused requests are spread out over time, at demandSkew times this host's even share
 // of the rate.
-func (a *account) retryAfter(now time.Time, evenFraction float64) time.Duration {
+func (a *account) retryAfter(now time.Time, s share) time.Duration {
 	if earliest := now.Add(refillTime(max(1-a.level, 0), a.limit.Rate)); a.nextRetry.Before(earliest) {
 		a.nextRetry = earliest
 	}
-	a.nextRetry = a.nextRetry.Add(refillTime(1, a.limit.Rate*min(evenFraction*demandSkew, 1)))
+	a.nextRetry = a.nextRetry.Add(refillTime(1, a.limit.Rate*min(s.even*demandSkew, 1)))
 	return min(a.nextRetry.Sub(now), maxRetryAfter)
 }
 
--- a/internal/tally/manager.go
+++ b/internal/tally/manager.go
@@ -37,6 +37,9 @@
 	Zone        string
 	Incarnation uint64
 	Peers       peer.Caller
+	// ExpectedHosts returns how many hosts there may be, this one included, as long as
+	// no other is known: 1 if it is the only one. Nil means 1.
+	ExpectedHosts func() int
 	// Now returns the time; nil means time.Now.
 	Now func() time.Time
 }
@@ -60,6 +63,10 @@
 	avoidedUntil map[string]time.Time
 	// named holds the hosts that homes named, by partition.
 	named [partitionCount]namedHome
+	// started is when this Manager was created, and found is set once another host was
+	// known.
+	started time.Time
+	found   bool
 	// leaving is set once this host has announced that it leaves.
 	leaving bool
 	closed  bool
@@ -78,6 +85,7 @@
 		hosts:        []quota.Host{{ID: config.Host, Zone: config.Zone}},
 		missingSince: make(map[string]time.Time),
 		avoidedUntil: make(map[string]time.Time),
+		started:      config.Now(),
 	}
 	m.choosePrimaryHomes()
 	return m
@@ -126,6 +134,7 @@
 	}
 	m.hosts = append([]quota.Host(nil), hosts...)
 	m.leaving = leaving[m.config.Host]
+	m.found = m.found || len(hosts) > 1 || len(leaving) > 0
 	m.choosePrimaryHomes()
 }
 
@@ -139,7 +148,8 @@
 		refusedUnknown.Add(1)
 		return verdict.New(verdict.NotRun, verdict.QuotaUnavailable, "client account %q is not known here", name)
 	}
-	if a.spend(m.config.Now(), m.evenFraction()) {
+	now := m.config.Now()
+	if a.spend(now, m.share(now)) {
 		spentTokens.Add(1)
 		m.reportIfStale(a)
 		return nil
@@ -149,19 +159,20 @@
 		return nil
 	}
 	refusedExceeded.Add(1)
+	now = m.config.Now()
 	refusal := verdict.New(verdict.NotRun, verdict.QuotaExceeded,
 		"client account %q is above its rate and burst: %.1f tokens, filled with %.1f/s, others spend %.1f/s, answered %d ms ago",
-		name, a.level, a.refillRate, a.othersRate, m.config.Now().Sub(a.lastAnswer).Milliseconds())
-	refusal.RetryAfterMs = int(a.retryAfter(m.config.Now(), m.evenFraction()).Milliseconds())
+		name, a.level, a.refillRate, a.othersRate, now.Sub(a.lastAnswer).Milliseconds())
+	refusal.RetryAfterMs = int(a.retryAfter(now, m.share(now)).Milliseconds())
 	return refusal
 }
 
 // ask asks the home of an account for one token and reports whether it granted it. It
-// returns false at once if another request is asking, or the home has just granted none.
-// It releases m.mu while it waits.
+// returns false at once if another request is asking, the home has just granted none, or
+// this host still searches for others. It releases m.mu while it waits.
 func (m *Manager) ask(ctx context.Context, a *account) bool {
 	now := m.config.Now()
-	if m.closed || a.asking || now.Before(a.nextAsk) {
+	if m.closed || a.asking || now.Before(a.nextAsk) || m.searching(now) {
 		return false
 	}
 	a.asking = true
@@ -200,7 +211,7 @@
 // spends for the first time in a while spends from an estimate that may be outdated.
 func (m *Manager) reportIfStale(a *account) {
 	now := m.config.Now()
-	if m.closed || now.Sub(a.lastReport) < checkInterval || !a.reportDue(now, len(m.hosts)) {
+	if m.closed || now.Sub(a.lastReport) < checkInterval || !a.reportDue(now, len(m.hosts)) || m.searching(now) {
 		return
 	}
 	home := m.home(partitionOf(a.name), now)
@@ -213,7 +224,7 @@
 func (m *Manager) addSpending(args *ReportArgs, a *account, now time.Time) {
 	a.lastReport = now
 	a.refusedSinceReport = false
-	a.advance(now, m.evenFraction())
+	a.advance(now, m.share(now))
 	args.Spendings = append(args.Spendings, a.spending(now))
 }
 
@@ -257,6 +268,9 @@
 	}
 	now := m.config.Now()
 	m.expire(now)
+	if m.searching(now) {
+		return
+	}
 	reports := make(map[quota.Host]*ReportArgs)
 	for _, a := range m.accounts {
 		if !a.reportDue(now, len(m.hosts)) && (!all || a.total == a.acknowledged) {
--- a/internal/tally/restart_test.go
+++ b/internal/tally/restart_test.go
@@ -37,6 +37,9 @@
 	live    map[string]map[string]bool
 	leaving map[string]map[string]bool
 	stop    map[string]context.CancelFunc
+	// expected is the number of hosts that a starting host takes for the fleet's, while
+	// it knows no other; 0 stands for 1.
+	expected int
 }
 
 func newRestartingFleet(ctx context.Context, n int, limit quota.Limit, seed uint64) *restartingFleet {
@@ -65,7 +68,11 @@
 
 // start starts a host that knows only itself.
 func (f *restartingFleet) start(h quota.Host) {
-	m := New(Config{Host: h.ID, Zone: h.Zone, Incarnation: uint64(time.Now().UnixNano()), Peers: caller{network: f.network, host: h.ID}})
+	expected := f.expected
+	m := New(Config{
+		Host: h.ID, Zone: h.Zone, Incarnation: uint64(time.Now().UnixNano()), Peers: caller{network: f.network, host: h.ID},
+		ExpectedHosts: func() int { return expected },
+	})
 	m.SetAccounts(map[string]quota.Limit{"account": withHalfOverage(f.limit)})
 	f.live[h.ID] = map[string]bool{h.ID: true}
 	f.leaving[h.ID] = make(map[string]bool)
