Make one attempt at a time where backend servers pass on call tokens

What callers would see: since an attempt at an unresponsive host goes on beside the next one, both make the nested calls of the request, also those that must not be repeated. Hedging is off there for the same reason.

Where backend servers pass on call tokens, the first attempt is now cancelled when the call is sent to another host, as it was before it could go on. It still goes on if there is no other attempt.

--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -20,7 +20,8 @@
 
 // attemptStage sends the call to a host. After a failure it sends the call to
 // another host if a retry is safe and the limits on retries allow it (see mayRetry).
-// Attempts at unresponsive hosts go on until the call has ended.
+// Attempts at unresponsive hosts go on until the call has ended or, if NoCallTokens is
+// not set, until it is sent to another host.
 func attemptStage(e *Entry) kernel.Stage[*activeCall] {
 	return func(ctx context.Context, x *activeCall, _ kernel.Handler[*activeCall]) error {
 		if err := e.checkThrottle(x); err != nil {
@@ -30,7 +31,7 @@
 		attemptsCtx, cancel := context.WithCancel(ctx)
 		defer cancel()
 		x.late.ctx, x.late.interrupt = ctx, cancel
-		defer x.late.close()
+		defer x.late.abandon()
 		failure := e.sendToHosts(attemptsCtx, x)
 		if failure == nil {
 			return nil
@@ -71,6 +72,11 @@
 		if !e.mayRetry(ctx, x, failure, offered) {
 			return failure
 		}
+		if !e.config.NoCallTokens {
+			// Two attempts at once would both make the nested calls, and these
+			// need not be repeatable.
+			x.late.abandon()
+		}
 		metricRetries.Add(1)
 		e.log.retried(x, host, attempt, failure)
 		x.request.Repeated = x.request.Repeated || offered
--- a/internal/entry/late.go
+++ b/internal/entry/late.go
@@ -15,11 +15,13 @@
 	ctx       context.Context
 	interrupt context.CancelFunc
 
+	// The fields below belong to the attempts that were added since the last abandon.
 	mu      sync.Mutex
 	pending int
 	results chan *sendResult
-	closed  chan struct{}
+	lateCtx context.Context
 	stop    context.CancelFunc
+	stopped chan struct{}
 }
 
 // add leaves an attempt that has not ended to l.
@@ -27,21 +29,26 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.results == nil {
-		l.results, l.closed = make(chan *sendResult), make(chan struct{})
-		l.ctx, l.stop = context.WithCancel(l.ctx)
+		l.results, l.stopped = make(chan *sendResult), make(chan struct{})
+		l.lateCtx, l.stop = context.WithCancel(l.ctx)
 	}
 	l.pending++
-	results, closed := l.results, l.closed
-	unfollow := a.follow(l.ctx)
+	results, stopped := l.results, l.stopped
+	unfollow := a.follow(l.lateCtx)
 	e.wg.Go(func() {
 		defer unfollow()
 		result := <-a.result
+		select {
+		case <-stopped:
+			return
+		default:
+		}
 		if result.served() {
 			l.interrupt()
 		}
 		select {
 		case results <- result:
-		case <-closed:
+		case <-stopped:
 		}
 	})
 }
@@ -58,14 +65,16 @@
 	return <-l.results
 }
 
-// close ends the attempts whose results are still missing.
-func (l *lateResults) close() {
+// abandon cancels the attempts whose results are still missing.
+func (l *lateResults) abandon() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.results != nil {
-		l.stop()
-		close(l.closed)
+	if l.results == nil {
+		return
 	}
+	l.stop()
+	close(l.stopped)
+	l.pending, l.results = 0, nil
 }
 
 // awaitLate waits for the late results of a call whose other attempts failed, and
--- a/internal/entry/late_test.go
+++ b/internal/entry/late_test.go
@@ -111,3 +111,34 @@
 		})
 	}
 }
+
+// TestCallTokensAllowOneAttemptAtATime guards against nested calls that two attempts of their parent make at once.
+func TestCallTokensAllowOneAttemptAtATime(t *testing.T) {
+	served := func() *call.Answer { return &call.Answer{Status: http.StatusOK} }
+	tests := map[string]struct {
+		path     string
+		sent     int64
+		min, max time.Duration
+	}{
+		"sent again":       {"/often", 2, 1500 * time.Millisecond, 2500 * time.Millisecond},
+		"only one attempt": {"/lookups", 1, 900 * time.Millisecond, 1300 * time.Millisecond},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			p := newSilentPeers(lateOutcome{900 * time.Millisecond, served()}, lateOutcome{1100 * time.Millisecond, served()})
+			e := newTokenlessEntry(t, map[string][]string{"peals": {"host-0", "host-1"}}, 10, map[string]object.Spec{
+				"peals":   object.ServiceSpec{},
+				"lookups": object.RouteSpec{PathPrefix: "/lookups", Service: "peals", Urgency: object.Normal, Open: true, Attempts: 1},
+				"often":   object.RouteSpec{PathPrefix: "/often", Service: "peals", Urgency: object.Normal, Open: true, Attempts: 4},
+			}, func(c *entry.Config) { c.Peers, c.NoCallTokens = p, false })
+			recorder := httptest.NewRecorder()
+			start := time.Now()
+			e.CallerHandler().ServeHTTP(recorder, httptest.NewRequest(http.MethodGet, test.path, nil))
+			took := time.Since(start)
+			qt.Check(t, recorder.Code, qt.Equals, http.StatusOK)
+			qt.Check(t, p.sent.Load(), qt.Equals, test.sent)
+			qt.Check(t, took >= test.min && took <= test.max, qt.IsTrue, qt.Commentf("%v", took))
+		})
+	}
+}
