Don't end a nested call with another run of its parent's request

What callers saw: a nested call was answered 502 while a backend server worked on it and while its parent was running. Its parent's request ran twice at once on the host, and the other run was cancelled 50 ms before.

Cause: where backend servers pass on no call tokens, a nested call names the request ID of its parent, and the node kept one running call for each ID: the latest. A request comes twice to one host as a nested call of two hedged attempts on different hosts: both make the same nested calls. As one attempt is cancelled, its nested call is too, and with it the nested calls beneath that belong to the other run. The end of either run also made the node forget the other, whose nested calls then had no parent.

The node now knows all running calls of a request ID. Which of them made a nested call can't be told, so a nested call ends only when none of them runs any more.

Evidence: TestNestedCallOutlivesOtherRunOfItsParent got 502 before, and gets the backend server's 200 now, though the other run is cancelled meanwhile.

Ruled out: to guess the run by the time or the connection of the nested call.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -359,17 +359,29 @@
 		deadline = time.Now().Add(maxTimeout)
 	}
 	ctx, cancel := context.WithDeadline(ctx, deadline)
-	stop := context.AfterFunc(parent.Context(), func() {
+	stop := e.cancelAfterParent(ctx, parent, cancel)
+	return ctx, func() {
+		stop()
+		cancel()
+	}
+}
+
+// cancelAfterParent calls cancel callerDropTime after the parent has ended, unless ctx ends
+// before or this node leaves. If the parent's request still runs in another call on this
+// host, that call may be the one that made the nested call, so it counts as the parent.
+func (e *Entry) cancelAfterParent(ctx context.Context, parent *owner.Parent, cancel context.CancelFunc) (stop func() bool) {
+	return context.AfterFunc(parent.Context(), func() {
 		time.AfterFunc(callerDropTime, func() {
-			if !e.leaving.Load() {
+			other := e.findInferredParent(parent.Request().RequestID)
+			switch {
+			case ctx.Err() != nil || e.leaving.Load():
+			case other != nil && other.Context().Err() == nil:
+				_ = e.cancelAfterParent(ctx, other, cancel)
+			default:
 				cancel()
 			}
 		})
 	})
-	return ctx, func() {
-		stop()
-		cancel()
-	}
 }
 
 // inherit sets the properties that a nested call takes over from its parent.
--- a/internal/entry/parent_test.go
+++ b/internal/entry/parent_test.go
@@ -4,6 +4,8 @@
 	"context"
 	"net/http"
 	"net/http/httptest"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -52,20 +54,18 @@
 	s.ended <- err
 }
 
-// cancelParent has a nestingServer serve a request, cancels it, and returns how long
-// after that the nested call ended, and its error.
-func cancelParent(t *testing.T, dropAfter time.Duration, leaving bool) (time.Duration, error) {
-	s := &nestingServer{dropAfter: dropAfter, running: make(chan struct{}, 1), ended: make(chan error, 1)}
-	backend := httptest.NewServer(s)
+// newNestingHost returns the owner of a host with the given backend server, and the address
+// for its nested calls. These are answered after delay.
+func newNestingHost(t *testing.T, handler http.Handler, delay time.Duration, leaving bool) (*owner.Owner, string) {
+	backend := httptest.NewServer(handler)
 	t.Cleanup(backend.Close)
-	controller := admission.New(admission.Config{})
+	controller := admission.New(admission.Config{Disabled: admission.ColdRamp})
 	t.Cleanup(controller.Close)
 	o, err := owner.New(owner.Config{Admission: controller, AnswerBytes: 1024, RequestIDTokens: true})
 	qt.Assert(t, err, qt.IsNil)
 	o.Announce(owner.Announcement{Service: "parents", Address: backend.Listener.Addr().String(), Slots: 4})
 
-	// The call below is not answered before it is cancelled.
-	p := &delayedPeers{answer: serveOK, delay: func(int64, *call.Request) time.Duration { return 4 * time.Second }}
+	p := &delayedPeers{answer: serveOK, delay: func(int64, *call.Request) time.Duration { return delay }}
 	e := newTokenlessEntry(t, map[string][]string{"peals": {"host-0"}}, 100, map[string]object.Spec{
 		"peals":   object.ServiceSpec{},
 		"lookups": object.RouteSpec{PathPrefix: "/lookups", Service: "peals", Urgency: object.Normal, Open: true, Attempts: 1},
@@ -75,7 +75,21 @@
 	}
 	callers := httptest.NewServer(e.CallerHandler())
 	t.Cleanup(callers.Close)
-	s.entry = callers.URL
+	return o, callers.URL
+}
+
+// parentRequest returns the request in which the calls of a nestingServer are nested.
+func parentRequest(attempt string) *call.Request {
+	return &call.Request{ID: attempt, RequestID: "parent", Service: "parents", Method: http.MethodGet, Target: "/", Remaining: 4 * time.Second}
+}
+
+// cancelParent has a nestingServer serve a request, cancels it, and returns how long
+// after that the nested call ended, and its error.
+func cancelParent(t *testing.T, dropAfter time.Duration, leaving bool) (time.Duration, error) {
+	s := &nestingServer{dropAfter: dropAfter, running: make(chan struct{}, 1), ended: make(chan error, 1)}
+	// The nested call is not answered before its parent is cancelled.
+	o, address := newNestingHost(t, s, 4*time.Second, leaving)
+	s.entry = address
 
 	ctx, cancel := context.WithCancel(t.Context())
 	go func() {
@@ -84,10 +98,10 @@
 		cancel()
 	}()
 	var answer call.Answer
-	o.Call(ctx, &call.Request{ID: "parent/1", RequestID: "parent", Service: "parents", Method: http.MethodGet, Target: "/", Remaining: 4 * time.Second}, &answer)
+	o.Call(ctx, parentRequest("parent/1"), &answer)
 	qt.Assert(t, answer.Err != nil && answer.Err.Code == verdict.Cancelled, qt.IsTrue)
 	cancelled := time.Now()
-	err = <-s.ended
+	err := <-s.ended
 	return time.Since(cancelled), err
 }
 
@@ -111,3 +125,57 @@
 	qt.Check(t, err, qt.ErrorIs, context.Canceled)
 	qt.Check(t, took >= 350*time.Millisecond, qt.IsTrue, qt.Commentf("after %v", took))
 }
+
+// TestNestedCallOutlivesOtherRunOfItsParent guards against a nested call that is given up because another run of its parent on the same host was cancelled.
+func TestNestedCallOutlivesOtherRunOfItsParent(t *testing.T) {
+	var o *owner.Owner
+	var address string
+	var runs atomic.Int64
+	bothRun, nested := make(chan struct{}), make(chan int, 1)
+	handler := http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		if runs.Add(1) == 2 {
+			close(bothRun)
+			<-r.Context().Done()
+			return
+		}
+		select {
+		case <-bothRun:
+		case <-r.Context().Done():
+			nested <- 0
+			return
+		}
+		time.Sleep(20 * time.Millisecond)
+		request, _ := http.NewRequestWithContext(context.Background(), http.MethodGet, address+"/lookups", nil)
+		request.Header.Set(parentHeader, "parent")
+		response, err := http.DefaultClient.Do(request)
+		if err != nil {
+			t.Error(err)
+			nested <- 0
+			return
+		}
+		_ = response.Body.Close()
+		nested <- response.StatusCode
+	})
+	o, address = newNestingHost(t, handler, 300*time.Millisecond, false)
+
+	var first, second call.Answer
+	var wg sync.WaitGroup
+	wg.Go(func() { o.Call(t.Context(), parentRequest("parent/1"), &first) })
+	for runs.Load() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	wg.Go(func() { o.Call(ctx, parentRequest("parent/1/second"), &second) })
+	select {
+	case <-bothRun:
+	case <-time.After(3 * time.Second):
+		t.Error("the second run has not begun")
+	}
+	time.Sleep(100 * time.Millisecond)
+	cancel()
+	qt.Check(t, <-nested, qt.Equals, http.StatusOK)
+	wg.Wait()
+	qt.Check(t, first.Err == nil, qt.IsTrue)
+	_, running := o.Parent("parent")
+	qt.Check(t, running, qt.IsFalse)
+}
--- a/internal/owner/backend.go
+++ b/internal/owner/backend.go
@@ -87,7 +87,7 @@
 			budget:  retry.NewBudget(c.request.ExtraAttempts),
 		}
 		token := o.callTokens.issue(c.parent, o.config.RequestIDTokens)
-		defer o.callTokens.release(token)
+		defer o.callTokens.release(token, c.parent)
 		err := o.roundTrip(ctx, b, c, token)
 		if errors.Is(err, errConnectionRefused) {
 			o.Withdraw(b.announcement.Service)
--- a/internal/owner/token.go
+++ b/internal/owner/token.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/rand"
 	"fmt"
+	"slices"
 	"sync"
 	"sync/atomic"
 
@@ -79,9 +80,12 @@
 	return unspent
 }
 
-// callTokens maps call tokens to running calls. The zero value is an empty map.
+// callTokens maps call tokens to running calls. Several calls have the same token if it is
+// the RequestID of a request that was sent to this host more than once. The zero value is
+// an empty map.
 type callTokens struct {
-	parents sync.Map
+	mu      sync.Mutex
+	parents map[string][]*Parent
 }
 
 // issue returns a token for the call that is valid until it is released. The token is
@@ -91,16 +95,39 @@
 	if !byRequestID {
 		token = rand.Text()
 	}
-	t.parents.Store(token, p)
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.parents == nil {
+		t.parents = make(map[string][]*Parent)
+	}
+	t.parents[token] = append(t.parents[token], p)
 	return token
 }
 
-func (t *callTokens) release(token string) { t.parents.Delete(token) }
+func (t *callTokens) release(token string, p *Parent) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	rest := slices.DeleteFunc(t.parents[token], func(other *Parent) bool { return other == p })
+	if len(rest) == 0 {
+		delete(t.parents, token)
+		return
+	}
+	t.parents[token] = rest
+}
 
+// lookup returns the latest call with the token, if possible one that has not been
+// cancelled.
 func (t *callTokens) lookup(token string) (*Parent, bool) {
-	p, ok := t.parents.Load(token)
-	if !ok {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	parents := t.parents[token]
+	for _, p := range slices.Backward(parents) {
+		if p.ctx.Err() == nil {
+			return p, true
+		}
+	}
+	if len(parents) == 0 {
 		return nil, false
 	}
-	return p.(*Parent), true
+	return parents[len(parents)-1], true
 }
