Let a host that starts after a restore take the configuration from its peers

Seen in a test: a host started just after the store came back from an older copy, before operators had written a zone out of service again. It took the copy, pushed it, and the zone was back in service on all hosts 50 to 200 ms later, although these keep zones as they are for a second. With an older document it was ready with that document and served by it until its peers had told it the later one, after up to 2.5 s where only the hosts' exchange of generations tells it.

Cause: the wait after a restore applied to reads by hosts that had a configuration, not to a host without one, whose generation of the new era its peers took for a later one.

Change: a host without a configuration takes one from a source in a later era only after the source has answered for a second. Until then it asks its ready peers, as while the source is away. If it finds none, it is ready a second later.

Ruled out: telling peers whether a configuration was read a moment after a restore (another field in each message, unknown to older builds).

--- a/internal/configuration/era.go
+++ b/internal/configuration/era.go
@@ -64,9 +64,9 @@
 }
 
 // settled reports whether the source has answered in its present era for
-// restoreSettleTime.
+// restoreSettleTime, or never came back from an older copy.
 func (e *sourceEra) settled(now time.Time) bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return now.Sub(e.since) >= restoreSettleTime
+	return e.era <= 1 || now.Sub(e.since) >= restoreSettleTime
 }
--- a/internal/configuration/source.go
+++ b/internal/configuration/source.go
@@ -231,18 +231,24 @@
 
 // mayLackParts reports whether the source came back from an older copy a moment ago and
 // differs from the configuration in force, although operators have declared nothing later.
+// A node with none in force can't tell how long ago that was, nor what came later.
 func (r *Replica) mayLackParts(declared Declared, objects map[object.ID]object.Object) bool {
 	current := r.Snapshot()
-	restored := current.generation > 0 && Era(declared.AsOf) > Era(current.generation)
-	return restored && declared.Revision == current.revision &&
-		!r.sourceEra.settled(r.config.Now()) && !reflect.DeepEqual(current.objects, objects)
+	if Era(declared.AsOf) <= Era(current.generation) || r.sourceEra.settled(r.config.Now()) {
+		return false
+	}
+	return current.generation == 0 ||
+		(declared.Revision == current.revision && !reflect.DeepEqual(current.objects, objects))
 }
 
 // readyFromSource reports whether the node has the configuration of the source or,
-// if the source is unreachable, of its ready peers. While operators have declared none
+// if the source is unreachable or came back a moment ago, of its ready peers. While operators have declared none
 // yet, only the first host of a zone reads the source each time; the others mostly wait for
 // a push.
 func (r *Replica) readyFromSource(attempt int) bool {
+	if !r.sourceEra.settled(r.config.Now()) {
+		return r.readyFromPeers(r.ctx)
+	}
 	if !r.startSourceFailed && r.watchTimeout() != shortWatch && attempt%startReadInterval != 1 {
 		return r.inForce.Load() > 0
 	}
--- a/internal/configuration/source_restored_test.go
+++ b/internal/configuration/source_restored_test.go
@@ -264,7 +264,14 @@
 				time.Sleep(sourceInForce)
 
 				store.restore(older)
-				f.start(f.hosts[3])
+				late := f.hosts[3]
+				f.setFault(func(from, to Host) messageFault {
+					return messageFault{drop: from == late || to == late}
+				})
+				<-f.start(late).Ready()
+				_, found := f.replica(3).Snapshot().Object(serviceOf(3))
+				qt.Check(t, found, qt.IsTrue)
+				f.setFault(nil)
 				time.Sleep(settledAfterStart)
 				f.checkRevision(t, 7)
 				store.writeUnrelated(test.unrelated)
@@ -332,6 +339,47 @@
 	}
 }
 
+// TestHostThatStartsAfterRestore guards against a host that starts from the older copy and
+// brings a zone back in service, or a revision back, before operators have written it again.
+func TestHostThatStartsAfterRestore(t *testing.T) {
+	for starting := range 6 {
+		t.Run(fmt.Sprintf("host %d", starting), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				store := newRestorableStore()
+				store.declare(3)
+				older := store.copy()
+				f := restorableFleet(t, store)
+				defer f.stopAll()
+				check := func(revision uint64) {
+					for range 50 {
+						time.Sleep(10 * time.Millisecond)
+						for i, h := range f.hosts {
+							snapshot := f.replica(i).Snapshot()
+							_, out := snapshot.Object(zoneNorth)
+							_, declared := snapshot.Object(serviceOf(revision))
+							qt.Assert(t, out && declared || i == starting && snapshot.Generation() == 0, qt.IsTrue, qt.Commentf("%s", h.ID))
+						}
+					}
+					qt.Check(t, f.replica(starting).isReady.Load(), qt.IsTrue)
+				}
+				store.setZoneOut(true)
+				time.Sleep(sourceInForce)
+				store.restore(older)
+				f.start(f.hosts[starting])
+				check(3)
+
+				store.setZoneOut(true)
+				older = store.copy()
+				store.declare(7)
+				time.Sleep(sourceInForce)
+				store.restore(older)
+				f.start(f.hosts[starting])
+				check(7)
+			})
+		})
+	}
+}
+
 // TestZoneDuringRestore guards against a zone that is in or out of service for a moment as its
 // store went back, before operators have written it again.
 func TestZoneDuringRestore(t *testing.T) {
