Don't repeat a call whose lost answer may have told of a non-repeatable one beneath

Cause: the answer to a call tells its entry that a non-repeatable nested call has begun. If the answer is lost, because the owner's node is silent for 300 ms, or the exchange breaks, the entry knows only the route of the call itself. If that is idempotent the call is sent to another host, and its nested call runs again, under the same nested identifier, while the first one runs or has run. The trace of each: host-silent, peer-exchange-broken (may-have-run), request-sent-again, a second run of the nested call.

Change: an entry keeps the routes on which an answer told of a non-repeatable nested call. Requests on them that may have run are not sent again, their silent hosts are not given up, and they are noted at their own parents before they are sent, as those of non-repeatable routes are.

Ruled out: two nested calls with one identifier in one attempt of the parent, which counts them; hedging, which is off where backend servers pass on call tokens; callers' repeats, which have identifiers of their own; a false not-run verdict: the verdicts in the traces are may-have-run.

What remains: an entry that has had no such answer on a route since it started still repeats a lost call of it. Such routes should be declared non-repeatable.

--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -107,7 +107,7 @@
 // attempt that was not offered to a backend server costs no retry; maxFailovers
 // limits the number of these.
 func (e *Entry) mayRetry(ctx context.Context, x *activeCall, failure *verdict.Error, offered bool) bool {
-	if ctx.Err() != nil || !retry.Allowed(failure, x.request.NonRepeatable) {
+	if ctx.Err() != nil || !retry.Allowed(failure, !e.mayRepeat(&x.request)) {
 		return false
 	}
 	if !offered && e.config.NoCallTokens {
@@ -176,7 +176,7 @@
 		request.Remaining = time.Until(deadline)
 		request.Patience = x.maxQueueWait(request.Remaining, time.Now())
 	}
-	x.noteNonRepeatable(request.NonRepeatable && !x.claimed)
+	x.noteNonRepeatable(!e.mayRepeat(&request) && !x.claimed)
 	result := e.sendHedged(ctx, x, host, &request, excluded)
 	host = result.host
 	answer := result.answer
@@ -202,7 +202,10 @@
 		return result.err
 	}
 	host, answer := result.host, result.answer
-	x.noteNonRepeatable(answer.NonRepeatable)
+	if answer.NonRepeatable {
+		e.nonRepeatableRoutes.LoadOrStore(x.request.Route, nil)
+		x.noteNonRepeatable(true)
+	}
 	e.config.Balancer.Observe(host.ID, answer.Load, time.Now())
 	e.throttle.Observe(e.throttleKind(x), answer.RefusedBeneath, time.Now())
 	if answer.Err == nil {
@@ -215,6 +218,17 @@
 	return answer.Err
 }
 
+// mayRepeat reports whether a request that may have run can be sent again. It cannot if
+// it is non-repeatable, or if an earlier request on its route has begun a non-repeatable
+// nested call: if the answer is lost, this request may have begun one too.
+func (e *Entry) mayRepeat(request *call.Request) bool {
+	if request.NonRepeatable {
+		return false
+	}
+	_, learned := e.nonRepeatableRoutes.Load(request.Route)
+	return !learned
+}
+
 // budgetShare returns the part of the call's attempt budget that is sent with the
 // call for its nested calls. It is empty if backend servers pass on no call tokens:
 // nested calls then have attempt budgets of their own.
@@ -235,7 +249,7 @@
 }
 
 // send sends the call to the host and returns the result. If the host becomes
-// unresponsive and the request is repeatable, send leaves the attempt to x.late and
+// unresponsive and the request may be repeated, send leaves the attempt to x.late and
 // returns an error, so that the request is sent to another host as well.
 func (e *Entry) send(ctx context.Context, x *activeCall, host balance.Host, request *call.Request) *sendResult {
 	if host.ID == e.config.Host {
@@ -244,7 +258,7 @@
 	a := e.startRemote(ctx, host, request)
 	defer a.follow(ctx)()
 	unresponsive := a.unresponsive
-	if request.NonRepeatable {
+	if !e.mayRepeat(request) {
 		unresponsive = nil
 	}
 	select {
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -12,6 +12,7 @@
 	"context"
 	"net/http"
 	"slices"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -129,6 +130,9 @@
 	latencies routeLatencies
 	// throttle refuses calls whose nested calls are likely to be refused.
 	throttle balance.Throttle
+	// nonRepeatableRoutes holds the names of the routes whose calls have begun
+	// non-repeatable nested calls; see mayRepeat.
+	nonRepeatableRoutes sync.Map
 	// calls limits the concurrent calls from callers, and bodies the total size of
 	// their bodies.
 	calls  capacityLimit
--- a/internal/entry/hedge.go
+++ b/internal/entry/hedge.go
@@ -95,14 +95,14 @@
 // canHedge reports whether calls on this route may be sent to a second host at all.
 // Only the latencies of such calls are recorded.
 func (e *Entry) canHedge(x *activeCall) bool {
-	return e.config.NoCallTokens && !e.config.DisableHedging && !x.request.NonRepeatable
+	return e.config.NoCallTokens && !e.config.DisableHedging && e.mayRepeat(&x.request)
 }
 
 // hedgeDelay returns the time after which a call is sent to a second host as well,
 // 0 if it is not hedged. Only nested calls are hedged: a single lost or late answer
 // wastes the work that their ancestors have already done. The call must also be
-// repeatable, must not be a repeated attempt or nested in one, and must have an attempt
-// left.
+// repeatable (see mayRepeat), must not be a repeated attempt or nested in one, and must
+// have an attempt left.
 func (e *Entry) hedgeDelay(x *activeCall, remaining time.Duration) time.Duration {
 	if !e.canHedge(x) || x.request.Repeated || x.request.Depth == 0 || x.budget.Remaining() == 0 {
 		return 0
--- a/internal/proof/non_repeatable_test.go
+++ b/internal/proof/non_repeatable_test.go
@@ -242,6 +242,36 @@
 	qt.Check(t, report.Groups[0].Served > 0, qt.IsTrue)
 }
 
+// TestNestedNonRepeatableAfterLostAnswer guards against a second run of a nested non-repeatable call when the node of its repeatable parent falls silent.
+func TestNestedNonRepeatableAfterLostAnswer(t *testing.T) {
+	t.Parallel()
+	f := startFleet(t, nil, callChainHosts(), callChainObjects()...)
+	plan := []standin.Stream{{
+		Account: "bern", Key: f.createKey("bern", "bern-1"), Method: http.MethodGet, Path: "/rota/today",
+		Rate: 30, DurationS: 8, DeadlineMs: 2000,
+	}}
+	f.awaitServed(plan)
+	var faults sync.WaitGroup
+	faults.Go(func() {
+		time.Sleep(faultDelay)
+		for _, name := range []string{"ropes-a", "ropes-b"} {
+			f.control(f.hosts[name].serverAddress(), fmt.Sprintf(`{"service-time-ms": %d}`, slowServiceTime.Milliseconds()))
+		}
+		f.await(awaitTimeout, "running parents", func() bool { return f.runningRequests(f.hosts["rota-a"]) >= 3 })
+		checkNoError(t, f.hosts["rota-a"].node.Suspend(f.ctx))
+		time.Sleep(time.Second)
+		checkNoError(t, f.hosts["rota-a"].node.Resume(f.ctx))
+	})
+	report, calls := f.load(42, plan)
+	faults.Wait()
+	f.awaitQuietBackends()
+	logReport(t, report)
+	warmup, err := history.ReadCalls(&f.warmupRecords.b)
+	qt.Check(t, err, qt.IsNil)
+	f.checkHistory(append(calls, warmup...))
+	qt.Check(t, report.Groups[0].Served > 0, qt.IsTrue)
+}
+
 // makeBusy makes the backend servers of the hosts slow, and waits until each of them
 // is running at least 3 requests.
 func (f *fleet) makeBusy(hosts ...*host) {
