Keep the operators' number of a configuration that an older build passes on

Seen in a test: a host holds revision 7, gets the next configuration from a host of an older build, which sends no revision, and then applies revision 3 when the store comes back from an older copy.

Cause: the missing revision was stored as unknown, and nothing is older than unknown.

Change: such a configuration, which has a later generation, keeps the revision of the one that it replaces as a lower bound.

Evidence: TestRevisionIsKeptFromPeersWithoutOne, which submitted the older copy before and has it refused now. No run with an older build was made.

--- a/internal/configuration/change.go
+++ b/internal/configuration/change.go
@@ -153,6 +153,9 @@
 		})
 		return newState(s.snapshot.withGeneration(full.generation + 1))
 	}
+	if full.revision == 0 {
+		full.revision = s.snapshot.revision // A host of an older build sends none.
+	}
 	return newState(full)
 }
 
--- a/internal/configuration/source_restored_test.go
+++ b/internal/configuration/source_restored_test.go
@@ -306,6 +306,21 @@
 	}
 }
 
+// TestRevisionIsKeptFromPeersWithoutOne guards against a host that follows an older copy because a
+// peer of an older build, which sends no revision, told it the configuration in force.
+func TestRevisionIsKeptFromPeersWithoutOne(t *testing.T) {
+	inForce := newState(&Snapshot{generation: NewGeneration(1, 20), revision: 7})
+	fromOlderBuild := inForce.replace(&Snapshot{generation: NewGeneration(1, 21)})
+	qt.Check(t, fromOlderBuild.snapshot.generation, qt.Equals, NewGeneration(1, 21))
+
+	r := New(Config{Host: "own", Zone: "a"})
+	r.state.Store(fromOlderBuild)
+	older := Declared{Generation: NewGeneration(2, 18), Revision: 3, AsOf: NewGeneration(2, 18)}
+	ended, cancel := context.WithCancel(t.Context())
+	cancel()
+	qt.Check(t, r.applyDeclared(ended, older), qt.Equals, errSourceOlder)
+}
+
 // TestSecondRestore guards against a fleet that survives one restore only.
 func TestSecondRestore(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
