Keep a peer connection open when the reply to one call can't be decoded

What callers would see: all calls in progress between two nodes end with 502 because one message between them has a type that this node doesn't know.

Cause: net/rpc ends all calls of a connection when its codec reports an error in a body.

The frame was read whole and its checksum fits, so only the one call is concerned: the codec keeps the error beside the reply, and the pool returns it to that call as broken.

Evidence: TestFailedCallLeavesOthersAlone, "reply of other type", failed before ("exchange broken: gob: wrong type (int) for received field Text.Value"). Its other case is the former TestFailedSendLeavesOtherCallsAlone, unchanged in what it asks, and it asks for ErrBroken where that asked for any error.

--- a/internal/peer/codec.go
+++ b/internal/peer/codec.go
@@ -75,6 +75,13 @@
 	started atomic.Bool
 }
 
+// responseBody is the body of a response. The field err is the error of decoding it,
+// which concerns this call alone: the frame was read whole.
+type responseBody struct {
+	reply any
+	err   error
+}
+
 // clientCodec implements rpc.ClientCodec.
 type clientCodec struct {
 	*gobConn
@@ -94,8 +101,19 @@
 }
 
 func (c *clientCodec) ReadResponseHeader(r *rpc.Response) error { return c.receiveHeader(r) }
-func (c *clientCodec) ReadResponseBody(body any) error          { return c.receiveBody(body) }
-func (c *clientCodec) Close() error                             { return c.conn.Close() }
+
+// ReadResponseBody decodes a *responseBody, or discards the body if it is nil. net/rpc
+// would end all calls of the connection for an error.
+func (c *clientCodec) ReadResponseBody(body any) error {
+	if body == nil {
+		return c.receiveBody(nil)
+	}
+	response := body.(*responseBody)
+	response.err = c.receiveBody(response.reply)
+	return nil
+}
+
+func (c *clientCodec) Close() error { return c.conn.Close() }
 
 // serverCodec implements rpc.ServerCodec.
 type serverCodec struct{ *gobConn }
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -163,20 +163,31 @@
 	qt.Check(t, <-closed, qt.IsNil)
 }
 
-// TestFailedSendLeavesOtherCallsAlone guards against a call too large to be sent that breaks all calls in progress on its connection.
-func TestFailedSendLeavesOtherCallsAlone(t *testing.T) {
-	receiver := &echo{entered: make(chan struct{})}
-	address, _ := serve(t, new(recordedGenerations), receiver)
-	pool := newPool(t, secret, new(recordedGenerations))
-	answered := make(chan error, 1)
-	go func() { answered <- pool.Call(context.Background(), address, "Echo.Hang", &Text{}, &Text{}) }()
-	<-receiver.entered
-
-	tooLarge := &Text{strings.Repeat("x", peer.MaxFrameBytes+1)}
-	qt.Check(t, pool.Call(context.Background(), address, "Echo.Say", tooLarge, &Text{}), qt.IsNotNil)
-	receiver.entered <- struct{}{}
-	qt.Check(t, <-answered, qt.IsNil)
-	qt.Check(t, pool.Call(context.Background(), address, "Echo.Say", &Text{"small"}, &Text{}), qt.IsNil)
+// TestFailedCallLeavesOthersAlone guards against a call that breaks all calls in progress on its connection, because it can't be sent or its reply can't be decoded.
+func TestFailedCallLeavesOthersAlone(t *testing.T) {
+	tests := map[string]struct {
+		args  *Text
+		reply any
+	}{
+		"too large to be sent": {&Text{strings.Repeat("x", peer.MaxFrameBytes+1)}, &Text{}},
+		"reply of other type":  {&Text{"text"}, &struct{ Value int }{}},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			receiver := &echo{entered: make(chan struct{})}
+			address, _ := serve(t, new(recordedGenerations), receiver)
+			pool := newPool(t, secret, new(recordedGenerations))
+			answered := make(chan error, 1)
+			go func() { answered <- pool.Call(context.Background(), address, "Echo.Hang", &Text{}, &Text{}) }()
+			<-receiver.entered
+
+			err := pool.Call(context.Background(), address, "Echo.Say", test.args, test.reply)
+			qt.Check(t, errors.Is(err, peer.ErrBroken), qt.IsTrue)
+			receiver.entered <- struct{}{}
+			qt.Check(t, <-answered, qt.IsNil)
+			qt.Check(t, pool.Call(context.Background(), address, "Echo.Say", &Text{"small"}, &Text{}), qt.IsNil)
+		})
+	}
 }
 
 // TestInvalidHandshakes connects with clients that do not complete the handshake.
--- a/internal/peer/pool.go
+++ b/internal/peer/pool.go
@@ -72,14 +72,19 @@
 	}
 	defer p.release(c)
 	request := &requestBody{args: args}
-	pending := c.client.Go(method, request, reply, make(chan *rpc.Call, 1))
+	response := &responseBody{reply: reply}
+	pending := c.client.Go(method, request, response, make(chan *rpc.Call, 1))
 	select {
 	case <-ctx.Done():
 		callsBroken.Add(1)
 		return fmt.Errorf("%w: %w", ErrBroken, ctx.Err())
 	case <-pending.Done:
-		return p.outcome(address, c, request, pending.Error)
 	}
+	if response.err != nil {
+		callsBroken.Add(1)
+		return fmt.Errorf("%w: %s: reply: %w", ErrBroken, address, response.err)
+	}
+	return p.outcome(address, c, request, pending.Error)
 }
 
 // outcome converts the error of a finished net/rpc call to one that Call returns,
