Refuse nested calls that may not end before the stopping node does

What callers would see: since a stopping node serves the nested calls of its running calls, one that begins shortly before the shutdown time is cut off with the node, although a backend server is at work on it.

Nested calls are served for the first half of the shutdown time and refused as "leaving" after that. One that begins in time has at least the other half to end.

Evidence: TestNestedCallsWhileLeaving, "late", was served without the check (200) and is refused now (503). TestPathNestedCallsOfRunningCall and TestPathStopsInTime pass.

Ruled out: to serve them with a deadline at the shutdown time. The caller would get a failure of a call that may have run in place of a refusal.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -139,9 +139,10 @@
 	bodies capacityLimit
 	root   kernel.Handler[*activeCall]
 	nested kernel.Handler[*activeCall]
-	// leaving is set by Leave.
-	leaving atomic.Bool
-	wg      conc.WaitGroup
+	// leaving is set by Leave, and nestedUntil is its argument in Unix milliseconds.
+	leaving     atomic.Bool
+	nestedUntil atomic.Int64
+	wg          conc.WaitGroup
 }
 
 // New returns an entry with the given configuration.
@@ -184,8 +185,12 @@
 func (e *Entry) SetHosts(present map[string]bool) { e.liveness.retain(present) }
 
 // Leave tells the entry that this node shuts down. From then on a nested call goes on
-// after its parent has ended, until its caller drops it or its deadline passes.
-func (e *Entry) Leave() { e.leaving.Store(true) }
+// after its parent has ended, until its caller drops it or its deadline passes. Nested
+// calls that arrive at the LeavingHandler after nestedUntil are refused.
+func (e *Entry) Leave(nestedUntil time.Time) {
+	e.nestedUntil.Store(nestedUntil.UnixMilli())
+	e.leaving.Store(true)
+}
 
 // Close waits for background messages to finish. No call may be running.
 func (e *Entry) Close() error {
@@ -255,13 +260,14 @@
 }
 
 // LeavingHandler returns the handler for calls from callers while this node shuts down.
-// It serves calls with an inferred parent, since a call that still runs on this host
-// needs them, and refuses all others.
+// Until the time given to Leave, it serves calls with an inferred parent, since a call
+// that still runs on this host needs them. It refuses all others.
 func (e *Entry) LeavingHandler() http.Handler {
 	refusal := e.refuse(verdict.New(verdict.NotRun, verdict.Leaving, "this node leaves; call another"))
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		meta, _ := e.config.Codec.Read(r) // serveRoot reports an invalid header.
-		if e.findInferredParent(meta.Parent) != nil {
+		inTime := time.Now().UnixMilli() < e.nestedUntil.Load()
+		if inTime && e.findInferredParent(meta.Parent) != nil {
 			e.serveRoot(w, r)
 			return
 		}
--- a/internal/entry/parent_test.go
+++ b/internal/entry/parent_test.go
@@ -55,8 +55,9 @@
 }
 
 // newNestingHost returns the owner of a host with the given backend server, and the address
-// for its nested calls. These are answered after delay.
-func newNestingHost(t *testing.T, handler http.Handler, delay time.Duration, leaving bool) (*owner.Owner, string) {
+// for its nested calls, which the handler from nestedHandler takes. They are answered after
+// delay.
+func newNestingHost(t *testing.T, handler http.Handler, delay time.Duration, nestedHandler func(*entry.Entry) http.Handler) (*owner.Owner, string) {
 	backend := httptest.NewServer(handler)
 	t.Cleanup(backend.Close)
 	controller := admission.New(admission.Config{Disabled: admission.ColdRamp})
@@ -70,10 +71,7 @@
 		"peals":   object.ServiceSpec{},
 		"lookups": object.RouteSpec{PathPrefix: "/lookups", Service: "peals", Urgency: object.Normal, Open: true, Attempts: 1},
 	}, func(c *entry.Config) { c.Codec, c.Peers, c.Owner = parentCodec{}, p, o })
-	if leaving {
-		e.Leave()
-	}
-	callers := httptest.NewServer(e.CallerHandler())
+	callers := httptest.NewServer(nestedHandler(e))
 	t.Cleanup(callers.Close)
 	return o, callers.URL
 }
@@ -88,7 +86,12 @@
 func cancelParent(t *testing.T, dropAfter time.Duration, leaving bool) (time.Duration, error) {
 	s := &nestingServer{dropAfter: dropAfter, running: make(chan struct{}, 1), ended: make(chan error, 1)}
 	// The nested call is not answered before its parent is cancelled.
-	o, address := newNestingHost(t, s, 4*time.Second, leaving)
+	o, address := newNestingHost(t, s, 4*time.Second, func(e *entry.Entry) http.Handler {
+		if leaving {
+			e.Leave(time.Now())
+		}
+		return e.CallerHandler()
+	})
 	s.entry = address
 
 	ctx, cancel := context.WithCancel(t.Context())
@@ -156,7 +159,7 @@
 		_ = response.Body.Close()
 		nested <- response.StatusCode
 	})
-	o, address = newNestingHost(t, handler, 300*time.Millisecond, false)
+	o, address = newNestingHost(t, handler, 300*time.Millisecond, (*entry.Entry).CallerHandler)
 
 	var first, second call.Answer
 	var wg sync.WaitGroup
@@ -179,3 +182,40 @@
 	_, running := o.Parent("parent")
 	qt.Check(t, running, qt.IsFalse)
 }
+
+// TestNestedCallsWhileLeaving guards against nested calls that begin too late to end before the node does.
+func TestNestedCallsWhileLeaving(t *testing.T) {
+	tests := map[string]struct {
+		nestedUntil time.Duration
+		status      int
+	}{
+		"in time": {time.Hour, http.StatusOK},
+		"late":    {-time.Second, http.StatusServiceUnavailable},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			var address string
+			nested := make(chan int, 1)
+			handler := http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
+				request, _ := http.NewRequestWithContext(context.Background(), http.MethodGet, address+"/lookups", nil)
+				request.Header.Set(parentHeader, "parent")
+				response, err := http.DefaultClient.Do(request)
+				if err != nil {
+					t.Error(err)
+					nested <- 0
+					return
+				}
+				_ = response.Body.Close()
+				nested <- response.StatusCode
+			})
+			var o *owner.Owner
+			o, address = newNestingHost(t, handler, time.Millisecond, func(e *entry.Entry) http.Handler {
+				e.Leave(time.Now().Add(test.nestedUntil))
+				return e.LeavingHandler()
+			})
+			var answer call.Answer
+			o.Call(t.Context(), parentRequest("parent/1"), &answer)
+			qt.Check(t, <-nested, qt.Equals, test.status)
+		})
+	}
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -31,6 +31,9 @@
 	// refusalPeriod is how long, at least, a leaving node refuses calls before it closes
 	// the caller listener.
 	refusalPeriod = 500 * time.Millisecond
+	// nestedTimeDivisor divides the shutdown time, to get the time for which a leaving
+	// node serves nested calls. Later ones might not end before the node does.
+	nestedTimeDivisor = 2
 	// closeTimeout bounds the graceful shutdown of the HTTP servers, which wait for
 	// their connections to become idle.
 	closeTimeout = 300 * time.Millisecond
@@ -295,7 +298,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), n.settings.ShutdownTimeout())
 	defer cancel()
 	calls.setState(drainServing)
-	n.entry.Leave()
+	n.entry.Leave(time.Now().Add(n.settings.ShutdownTimeout() / nestedTimeDivisor))
 	n.members.Leave(ctx)
 	sleep(ctx, n.settings.LeaveNoticePeriod())
 	n.admission.Drain()
