Withdraw a backend server that leaves before its first heartbeat to the node

Cause: a node that starts beside a running backend server takes it from a health check. The departure withdrew only a backend server that a heartbeat had named, so that this one stayed in use, and no heartbeat followed that could have ended it.

The departure now withdraws the backend server in use if it has that identity and did not start later. TestProvisionalBackendDeparts failed before in both cases.

--- a/internal/owner/heartbeat.go
+++ b/internal/owner/heartbeat.go
@@ -108,8 +108,8 @@
 }
 
 // MarkDeparted records that the instance with that incarnation has departed: its
-// process has ended. If the instance is the current one, its backend server is
-// withdrawn. A late heartbeat of a departed instance is stale. startMs is the start
+// process has ended. If its backend server is in use, also one that was announced
+// provisionally, it is withdrawn. A late heartbeat of a departed instance is stale. startMs is the start
 // time of the instance in Unix milliseconds, 0 if unknown.
 func (o *Owner) MarkDeparted(incarnation string, startMs int64) {
 	o.announceMu.Lock()
@@ -129,7 +129,7 @@
 	o.departed[incarnation] = max(o.departed[incarnation], startMs)
 	b := o.backend
 	o.mu.Unlock()
-	if isLatest && b != nil && b.announcement.Incarnation == incarnation {
+	if b != nil && b.announcement.Incarnation == incarnation && b.startMs <= startMs {
 		o.Withdraw(b.announcement.Service)
 	}
 }
--- a/internal/owner/heartbeat_test.go
+++ b/internal/owner/heartbeat_test.go
@@ -82,6 +82,21 @@
 	qt.Assert(t, o.AnnounceProvisionally(heartbeat("a", 0, 0, false)), qt.IsFalse)
 }
 
+// TestProvisionalBackendDeparts guards against calls to a backend server that left before its first heartbeat to this node.
+func TestProvisionalBackendDeparts(t *testing.T) {
+	for name, startMs := range map[string]int64{"start time known": 5, "start time unknown": 0} {
+		t.Run(name, func(t *testing.T) {
+			o := newTestOwner(t)
+			qt.Assert(t, o.AnnounceProvisionally(heartbeat("a", 0, 0, false)), qt.IsTrue)
+			o.MarkDeparted("another", startMs)
+			qt.Check(t, o.current(), qt.IsNotNil)
+			o.MarkDeparted("a", startMs)
+			qt.Check(t, o.current(), qt.IsNil)
+			qt.Check(t, o.HandleHeartbeat(heartbeat("a", startMs, 1, false)), qt.Equals, ErrStaleHeartbeat)
+		})
+	}
+}
+
 // TestColdHeartbeat checks that a backend server in cold start gets no more calls than
 // its declared cold rate allows, from its first heartbeat on.
 func TestColdHeartbeat(t *testing.T) {
