Keep a cancel message that arrives before its call

What callers saw: a backend server worked on a call that its entry had cancelled, until the deadline. That happens beside a host that was paused or short of processor time: the entry sends the call and, as the host answers no ping, the call's cancellation on the same connection, and the host reads both at once.

The owner ignored a cancel message for a call that was not running.

A call that arrives later with one of them is refused as not-run. Identifiers of attempts are never used again.

Ruled out: handling the messages of a connection in order; a call would hold up the others.

--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -86,7 +86,9 @@
 	backend *backend
 	// running maps the ID of each attempt that the owner is handling to the function
 	// that cancels it.
-	running       map[string]context.CancelFunc
+	running map[string]context.CancelFunc
+	// earlyCancels are used up by the attempts that they precede.
+	earlyCancels  earlyCancels
 	lastAnnounced time.Time
 	// instance is the instance of the latest heartbeat that was not stale.
 	instance instance
@@ -154,6 +156,9 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.running[id] = cancel
+	if o.earlyCancels.take(id) {
+		cancel()
+	}
 }
 
 func (o *Owner) removeRunning(id string) {
@@ -162,14 +167,16 @@
 	delete(o.running, id)
 }
 
-// cancel cancels the running call with the given attempt identifier, if any.
+// cancel cancels the call with the given attempt identifier, also if it arrives later.
 func (o *Owner) cancel(id string) {
 	o.mu.Lock()
+	defer o.mu.Unlock()
 	cancel := o.running[id]
-	o.mu.Unlock()
-	if cancel != nil {
-		cancel()
+	if cancel == nil {
+		o.earlyCancels.add(id)
+		return
 	}
+	cancel()
 }
 
 // CancelCalls cancels all calls that the owner is handling. A call that was already
--- a/internal/owner/owner_test.go
+++ b/internal/owner/owner_test.go
@@ -320,3 +320,24 @@
 	qt.Assert(t, answer.Err.Verdict, qt.Equals, verdict.NotRun)
 	qt.Assert(t, retry.Allowed(answer.Err, true), qt.IsTrue)
 }
+
+// TestCancelThatOvertakesItsCall guards against work for an entry that has already cancelled the call.
+func TestCancelThatOvertakesItsCall(t *testing.T) {
+	var received atomic.Int64
+	server := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { received.Add(1) }))
+	defer server.Close()
+	o := newOwner(t, server.Listener.Addr().String(), owner.Config{})
+	rpc := o.RPC().(*owner.RPC)
+	qt.Assert(t, rpc.Cancel(&call.Cancel{ID: request().ID}, new(call.Cancel)), qt.IsNil)
+	var cancelled, other call.Answer
+	qt.Assert(t, rpc.Call(request(), &cancelled), qt.IsNil)
+	qt.Check(t, received.Load(), qt.Equals, int64(0))
+	qt.Assert(t, cancelled.Err, qt.IsNotNil)
+	qt.Check(t, cancelled.Err.Code, qt.Equals, verdict.Cancelled)
+	qt.Check(t, cancelled.Err.Verdict, qt.Equals, verdict.NotRun)
+
+	next := request()
+	next.ID = "entry-1/2"
+	qt.Assert(t, rpc.Call(next, &other), qt.IsNil)
+	qt.Check(t, received.Load(), qt.Equals, int64(1))
+}
