Keep an attempt at an unresponsive host if there is no other host

What callers saw: where backend servers pass on call tokens, a call at the only host of its service ended with 502 after 0.55 s if that host answered no ping, although a backend server was at work on it and attempts were left.

Cause: the attempt was cancelled as soon as a retry was allowed, before it was known whether there was a host to send the call to.

The attempt is now cancelled when that host has been chosen.

Evidence: TestCallTokensAllowOneAttemptAtATime, "only one host": 502 after 0.55 s before, now the answer after 0.9 s. "sent again" is as it was.

--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -72,11 +72,6 @@
 		if !e.mayRetry(ctx, x, failure, offered) {
 			return failure
 		}
-		if !e.config.NoCallTokens {
-			// Two attempts at once would both make the nested calls, and these
-			// need not be repeatable.
-			x.late.abandon()
-		}
 		metricRetries.Add(1)
 		e.log.retried(x, host, attempt, failure)
 		x.request.Repeated = x.request.Repeated || offered
@@ -168,6 +163,11 @@
 	if err != nil {
 		return "", false, err
 	}
+	// Two attempts at once would both make the nested calls, and these need not be
+	// repeatable.
+	if !e.config.NoCallTokens {
+		x.late.abandon()
+	}
 	budgetShare := e.budgetShare(x)
 	request := x.request
 	request.ID = x.id + "/" + strconv.Itoa(number)
--- a/internal/entry/late_test.go
+++ b/internal/entry/late_test.go
@@ -122,13 +122,16 @@
 	}{
 		"sent again":       {"/often", 2, 1500 * time.Millisecond, 2500 * time.Millisecond},
 		"only one attempt": {"/lookups", 1, 900 * time.Millisecond, 1300 * time.Millisecond},
+		"only one host":    {"/bells", 1, 900 * time.Millisecond, 1300 * time.Millisecond},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			p := newSilentPeers(lateOutcome{900 * time.Millisecond, served()}, lateOutcome{1100 * time.Millisecond, served()})
-			e := newTokenlessEntry(t, map[string][]string{"peals": {"host-0", "host-1"}}, 10, map[string]object.Spec{
+			e := newTokenlessEntry(t, map[string][]string{"peals": {"host-0", "host-1"}, "bells": {"host-2"}}, 10, map[string]object.Spec{
 				"peals":   object.ServiceSpec{},
+				"bells":   object.ServiceSpec{},
+				"ringing": object.RouteSpec{PathPrefix: "/bells", Service: "bells", Urgency: object.Normal, Open: true, Attempts: 4},
 				"lookups": object.RouteSpec{PathPrefix: "/lookups", Service: "peals", Urgency: object.Normal, Open: true, Attempts: 1},
 				"often":   object.RouteSpec{PathPrefix: "/often", Service: "peals", Urgency: object.Normal, Open: true, Attempts: 4},
 			}, func(c *entry.Config) { c.Peers, c.NoCallTokens = p, false })
