Keep an answer that comes as its attempt is about to be abandoned

What callers saw: where backend servers pass on call tokens, a call to a host that answered no ping could end with 502 ("the caller went away" or "host ... is unresponsive"), although a backend server had just answered it and the caller was waiting.

Cause: the answer of an earlier attempt ends the attempts after it, and a further attempt abandons those before it. Neither excluded the other: an attempt that was abandoned could still end the next one, and an attempt that had ended the next one could be abandoned. Both were lost then.

An answer and an abandonment now exclude each other under the lock of lateResults: an abandoned attempt ends nothing, and once one was served no further attempt is made.

Ruled out: the loss of an answer where two attempts may run at once; none is abandoned there before the call has ended.

--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -165,8 +165,8 @@
 	}
 	// Two attempts at once would both make the nested calls, and these need not be
 	// repeatable.
-	if !e.config.NoCallTokens {
-		x.late.abandon()
+	if !e.config.NoCallTokens && !x.late.abandonUnserved() {
+		return "", false, verdict.New(verdict.NotRun, verdict.Cancelled, "an earlier attempt was served")
 	}
 	budgetShare := e.budgetShare(x)
 	request := x.request
--- a/internal/entry/late.go
+++ b/internal/entry/late.go
@@ -18,6 +18,7 @@
 	// The fields below belong to the attempts that were added since the last abandon.
 	mu      sync.Mutex
 	pending int
+	served  bool
 	results chan *sendResult
 	lateCtx context.Context
 	stop    context.CancelFunc
@@ -38,14 +39,7 @@
 	e.wg.Go(func() {
 		defer unfollow()
 		result := <-a.result
-		select {
-		case <-stopped:
-			return
-		default:
-		}
-		if result.served() {
-			l.interrupt()
-		}
+		l.interruptIfServed(result, stopped)
 		select {
 		case results <- result:
 		case <-stopped:
@@ -53,28 +47,57 @@
 	})
 }
 
+// interruptIfServed ends the other attempts of the call if the result is served and its
+// attempt was not abandoned.
+func (l *lateResults) interruptIfServed(result *sendResult, stopped <-chan struct{}) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.stopped != stopped || !result.served() {
+		return
+	}
+	l.served = true
+	l.interrupt()
+}
+
 // next waits for the next result, at most answerGrace past the deadline of the call. It
 // returns nil if no attempt is left. No attempt may be added any more.
 func (l *lateResults) next() *sendResult {
 	l.mu.Lock()
-	defer l.mu.Unlock()
 	if l.pending == 0 {
+		l.mu.Unlock()
 		return nil
 	}
 	l.pending--
-	return <-l.results
+	results := l.results
+	l.mu.Unlock()
+	return <-results
 }
 
 // abandon cancels the attempts whose results are still missing.
 func (l *lateResults) abandon() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.abandonLocked()
+}
+
+// abandonUnserved is abandon, but does nothing and returns false if a result was served.
+func (l *lateResults) abandonUnserved() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.served {
+		return false
+	}
+	l.abandonLocked()
+	return true
+}
+
+func (l *lateResults) abandonLocked() {
 	if l.results == nil {
 		return
 	}
 	l.stop()
 	close(l.stopped)
-	l.pending, l.results = 0, nil
+	l.pending, l.results, l.stopped = 0, nil, nil
 }
 
 // awaitLate waits for the late results of a call whose other attempts failed, and
--- a/internal/entry/late_test.go
+++ b/internal/entry/late_test.go
@@ -2,8 +2,12 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net/http"
 	"net/http/httptest"
+	"strings"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -145,3 +149,62 @@
 		})
 	}
 }
+
+// racingPeers are hosts that answer no ping. They answer first attempts less than a
+// millisecond after the first ping has failed, and others at once.
+type racingPeers struct {
+	delayedPeers
+	pinged   chan struct{}
+	notePing func()
+}
+
+func newRacingPeers() *racingPeers {
+	p := &racingPeers{pinged: make(chan struct{})}
+	p.notePing = sync.OnceFunc(func() { close(p.pinged) })
+	p.delay = func(int64, *call.Request) time.Duration { return 0 }
+	p.answer = serveOK
+	return p
+}
+
+func (p *racingPeers) Call(ctx context.Context, address, method string, args, reply any) error {
+	if method == "Owner.Ping" {
+		time.Sleep(20 * time.Millisecond) // lets the calls to the host wait for the same ping.
+		p.notePing()
+		return peer.ErrBroken
+	}
+	if request := exchanged(method, args); request != nil && strings.HasSuffix(request.ID, "/1") {
+		select {
+		case <-ctx.Done():
+		case <-p.pinged:
+			time.Sleep(rand.N(time.Millisecond))
+		}
+	}
+	if ctx.Err() != nil {
+		return peer.ErrBroken
+	}
+	return p.delayedPeers.Call(ctx, address, method, args, reply)
+}
+
+// TestAnswerAtTheMomentOfARetry guards against a call that fails because an attempt is served just as it is abandoned.
+func TestAnswerAtTheMomentOfARetry(t *testing.T) {
+	const rounds, calls = 4, 500
+	var failed atomic.Int64
+	for range rounds {
+		e := newTokenlessEntry(t, map[string][]string{"peals": {"host-0", "host-1", "host-2", "host-3"}}, calls, map[string]object.Spec{
+			"peals": object.ServiceSpec{},
+			"often": object.RouteSpec{PathPrefix: "/often", Service: "peals", Urgency: object.Normal, Open: true, Attempts: 4},
+		}, func(c *entry.Config) { c.Peers, c.NoCallTokens, c.DisableRetryLimit = newRacingPeers(), false, true })
+		var wg sync.WaitGroup
+		for range calls {
+			wg.Go(func() {
+				recorder := httptest.NewRecorder()
+				e.CallerHandler().ServeHTTP(recorder, httptest.NewRequest(http.MethodGet, "/often", nil))
+				if recorder.Code != http.StatusOK {
+					failed.Add(1)
+				}
+			})
+		}
+		wg.Wait()
+	}
+	qt.Assert(t, failed.Load(), qt.Equals, int64(0))
+}
