--- a/internal/configuration/replica.go
+++ b/internal/configuration/replica.go
@@ -56,7 +56,8 @@
 	// startSourceFailed is set if the last read of the source before the node was
 	// ready failed. Only runStartup uses it.
 	startSourceFailed bool
-	sourceEra         sourceEra
+	// sourceEra is the era in which the source last answered.
+	sourceEra sourceEra
 	// olderRevision is the last revision of the source that was refused because a later
 	// one is in force.
 	olderRevision atomic.Uint64
--- a/internal/configuration/source.go
+++ b/internal/configuration/source.go
@@ -18,6 +18,10 @@
 // one in force.
 var errSourceOlder = errors.New("configuration: the source is older than the configuration in force")
 
+// errSourceUnsettled means that the source came back from an older copy and may lack parts
+// that operators are about to write again.
+var errSourceUnsettled = errors.New("configuration: the source has just come back from an older copy")
+
 const (
 	// watchHosts is the number of hosts of a zone that watch the source. The
 	// first shortWatchHosts of them use shortWatch, the others longWatch.
@@ -42,10 +46,6 @@
 	sourceTimeout = 800 * time.Millisecond
 )
 
-// errSourceUnsettled means that the source came back from an older copy and may lack parts
-// that operators are about to write again.
-var errSourceUnsettled = errors.New("configuration: the source has just come back from an older copy")
-
 // Declared is the whole configuration read from a source. A part is one document
 // stored in the source; each part has a version.
 type Declared struct {
@@ -194,9 +194,11 @@
 	return declared.AsOf, true
 }
 
-// applyDeclared applies a declared configuration unless the node already has it or was sent
-// a later one since the read. It returns errSourceOlder if operators declared the one in force later, and
-// errSourceUnsettled if the source may lack parts that operators are about to write again.
+// applyDeclared applies a declared configuration unless the node already has it or was
+// sent a later one since the read. It returns errSourceOlder if operators declared the
+// one in force later, and errSourceUnsettled if the source may lack parts that operators
+// are about to write again.
+//
 // Removing a part does not raise Declared.Generation, so that it may be no higher than
 // the node's generation although the objects differ. In that case AsOf becomes the
 // generation.
@@ -241,10 +243,10 @@
 		(declared.Revision == current.revision && !reflect.DeepEqual(current.objects, objects))
 }
 
-// readyFromSource reports whether the node has the configuration of the source or,
-// if the source is unreachable or came back a moment ago, of its ready peers. While operators have declared none
-// yet, only the first host of a zone reads the source each time; the others mostly wait for
-// a push.
+// readyFromSource reports whether the node has the configuration of the source or, if
+// the source is unreachable or came back from an older copy a moment ago, of its ready
+// peers. While operators have declared none yet, only the first host of a zone reads the
+// source each time; the others mostly wait for a push.
 func (r *Replica) readyFromSource(attempt int) bool {
 	if !r.sourceEra.settled(r.config.Now()) {
 		return r.readyFromPeers(r.ctx)
