--- a/internal/configuration/source.go
+++ b/internal/configuration/source.go
@@ -219,7 +219,7 @@
 		}
 		return errSourceOlder
 	}
-	if r.mayLackParts(declared, objects) {
+	if r.mayLackParts(current, declared, objects) {
 		return errSourceUnsettled
 	}
 	if declared.Generation <= current.generation {
@@ -232,10 +232,9 @@
 }
 
 // mayLackParts reports whether the source came back from an older copy a moment ago and
-// differs from the configuration in force, although operators have declared nothing later.
+// differs from the current configuration, although operators have declared nothing later.
 // A node with none in force can't tell how long ago that was, nor what came later.
-func (r *Replica) mayLackParts(declared Declared, objects map[object.ID]object.Object) bool {
-	current := r.Snapshot()
+func (r *Replica) mayLackParts(current *Snapshot, declared Declared, objects map[object.ID]object.Object) bool {
 	if Era(declared.AsOf) <= Era(current.generation) || r.sourceEra.settled(r.config.Now()) {
 		return false
 	}
--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -36,16 +36,14 @@
 		if failure == nil {
 			return nil
 		}
-		if x.fallback != nil && attemptsCtx.Err() == nil {
-			x.answer = x.fallback
-			return nil
-		}
-		err := e.awaitLate(x, failure)
-		if err != nil && x.fallback != nil {
-			x.answer = x.fallback
-			return nil
+		if x.fallback == nil || attemptsCtx.Err() != nil {
+			err := e.awaitLate(x, failure)
+			if err == nil || x.fallback == nil {
+				return err
+			}
 		}
-		return err
+		x.answer = x.fallback
+		return nil
 	}
 }
 
--- a/internal/owner/heartbeat.go
+++ b/internal/owner/heartbeat.go
@@ -109,8 +109,8 @@
 
 // MarkDeparted records that the instance with that incarnation has departed: its
 // process has ended. If its backend server is in use, also one that was announced
-// provisionally, it is withdrawn. A late heartbeat of a departed instance is stale. startMs is the start
-// time of the instance in Unix milliseconds, 0 if unknown.
+// provisionally, it is withdrawn. A late heartbeat of a departed instance is stale.
+// startMs is the start time of the instance in Unix milliseconds, 0 if unknown.
 func (o *Owner) MarkDeparted(incarnation string, startMs int64) {
 	o.announceMu.Lock()
 	defer o.announceMu.Unlock()
