Share the set-up and checks that the new tests wrote twice

A nested call and its status, a hanging call between nodes, a fleet whose store has an older copy, and the check of a window against an account's limit stood twice to four times. New: TestNestedCallOutlivesOtherRunOfItsParent fails after 3 s if the first run does not begin, where it waited without an end.

--- a/internal/configuration/source_restored_test.go
+++ b/internal/configuration/source_restored_test.go
@@ -163,6 +163,14 @@
 	return f
 }
 
+// fleetWithOlderCopy starts a fleet at revision 3 and returns a copy of its store.
+func fleetWithOlderCopy(t *testing.T) (*restorableStore, storeCopy, *fleet) {
+	store := newRestorableStore()
+	store.declare(3)
+	older := store.copy()
+	return store, older, restorableFleet(t, store)
+}
+
 // checkRevision checks that all hosts have the configuration of a revision in force.
 func (f *fleet) checkRevision(t *testing.T, revision uint64) {
 	t.Helper()
@@ -222,10 +230,7 @@
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				store := newRestorableStore()
-				store.declare(3)
-				older := store.copy()
-				f := restorableFleet(t, store)
+				store, older, f := fleetWithOlderCopy(t)
 				defer f.stopAll()
 				store.writeUnrelated(test.writtenSince)
 				store.declare(7)
@@ -255,10 +260,7 @@
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				store := newRestorableStore()
-				store.declare(3)
-				older := store.copy()
-				f := restorableFleet(t, store)
+				store, older, f := fleetWithOlderCopy(t)
 				defer f.stopAll()
 				store.declare(7)
 				time.Sleep(sourceInForce)
@@ -324,10 +326,7 @@
 // TestSecondRestore guards against a fleet that survives one restore only.
 func TestSecondRestore(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		store := newRestorableStore()
-		store.declare(3)
-		older := store.copy()
-		f := restorableFleet(t, store)
+		store, older, f := fleetWithOlderCopy(t)
 		defer f.stopAll()
 		for revision := uint64(5); revision < 20; revision += 2 {
 			store.declare(revision)
@@ -360,10 +359,7 @@
 	for starting := range 6 {
 		t.Run(fmt.Sprintf("host %d", starting), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				store := newRestorableStore()
-				store.declare(3)
-				older := store.copy()
-				f := restorableFleet(t, store)
+				store, older, f := fleetWithOlderCopy(t)
 				defer f.stopAll()
 				check := func(revision uint64) {
 					for range 50 {
--- a/internal/entry/parent_test.go
+++ b/internal/entry/parent_test.go
@@ -129,6 +129,20 @@
 	qt.Check(t, took >= 350*time.Millisecond, qt.IsTrue, qt.Commentf("after %v", took))
 }
 
+// callNested makes a nested call of the request from parentRequest. It returns the status of
+// the response, 0 if there is none.
+func callNested(t *testing.T, address string) int {
+	request, _ := http.NewRequestWithContext(context.Background(), http.MethodGet, address+"/lookups", nil)
+	request.Header.Set(parentHeader, "parent")
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		t.Error(err)
+		return 0
+	}
+	_ = response.Body.Close()
+	return response.StatusCode
+}
+
 // TestNestedCallOutlivesOtherRunOfItsParent guards against a nested call that is given up because another run of its parent on the same host was cancelled.
 func TestNestedCallOutlivesOtherRunOfItsParent(t *testing.T) {
 	var o *owner.Owner
@@ -148,24 +162,15 @@
 			return
 		}
 		time.Sleep(20 * time.Millisecond)
-		request, _ := http.NewRequestWithContext(context.Background(), http.MethodGet, address+"/lookups", nil)
-		request.Header.Set(parentHeader, "parent")
-		response, err := http.DefaultClient.Do(request)
-		if err != nil {
-			t.Error(err)
-			nested <- 0
-			return
-		}
-		_ = response.Body.Close()
-		nested <- response.StatusCode
+		nested <- callNested(t, address)
 	})
 	o, address = newNestingHost(t, handler, 300*time.Millisecond, (*entry.Entry).CallerHandler)
 
 	var first, second call.Answer
 	var wg sync.WaitGroup
 	wg.Go(func() { o.Call(t.Context(), parentRequest("parent/1"), &first) })
-	for runs.Load() == 0 {
-		time.Sleep(time.Millisecond)
+	for end := time.Now().Add(3 * time.Second); runs.Load() == 0; time.Sleep(time.Millisecond) {
+		qt.Assert(t, time.Now().Before(end), qt.IsTrue, qt.Commentf("the first run has not begun"))
 	}
 	ctx, cancel := context.WithCancel(t.Context())
 	wg.Go(func() { o.Call(ctx, parentRequest("parent/1/second"), &second) })
@@ -197,16 +202,7 @@
 			var address string
 			nested := make(chan int, 1)
 			handler := http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
-				request, _ := http.NewRequestWithContext(context.Background(), http.MethodGet, address+"/lookups", nil)
-				request.Header.Set(parentHeader, "parent")
-				response, err := http.DefaultClient.Do(request)
-				if err != nil {
-					t.Error(err)
-					nested <- 0
-					return
-				}
-				_ = response.Body.Close()
-				nested <- response.StatusCode
+				nested <- callNested(t, address)
 			})
 			var o *owner.Owner
 			o, address = newNestingHost(t, handler, time.Millisecond, func(e *entry.Entry) http.Handler {
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -126,14 +126,21 @@
 	receiver.entered <- struct{}{}
 }
 
+// hangingCall makes a call that waits for a value in receiver.entered, and returns once the
+// receiver has it. The channel gets the result.
+func hangingCall(pool *peer.Pool, address string, receiver *echo) <-chan error {
+	answered := make(chan error, 1)
+	go func() { answered <- pool.Call(context.Background(), address, "Echo.Hang", &Text{}, &Text{}) }()
+	<-receiver.entered
+	return answered
+}
+
 // TestCloseSendsAnswersInProgress guards against a stop that cuts the connection of a call that is about to be answered.
 func TestCloseSendsAnswersInProgress(t *testing.T) {
 	receiver := &echo{entered: make(chan struct{})}
 	address, server := serve(t, new(recordedGenerations), receiver)
 	pool := newPool(t, secret, new(recordedGenerations))
-	answered := make(chan error, 1)
-	go func() { answered <- pool.Call(context.Background(), address, "Echo.Hang", &Text{}, &Text{}) }()
-	<-receiver.entered
+	answered := hangingCall(pool, address, receiver)
 	closed := make(chan error, 1)
 	go func() { closed <- server.Close() }()
 	time.Sleep(50 * time.Millisecond)
@@ -148,9 +155,7 @@
 	receiver := &echo{entered: make(chan struct{})}
 	address, server := serve(t, new(recordedGenerations), receiver)
 	pool := newPool(t, secret, new(recordedGenerations))
-	answered := make(chan error, 1)
-	go func() { answered <- pool.Call(context.Background(), address, "Echo.Hang", &Text{}, &Text{}) }()
-	<-receiver.entered
+	answered := hangingCall(pool, address, receiver)
 	closed := make(chan error, 1)
 	go func() { closed <- server.Close() }()
 	select {
@@ -177,9 +182,7 @@
 			receiver := &echo{entered: make(chan struct{})}
 			address, _ := serve(t, new(recordedGenerations), receiver)
 			pool := newPool(t, secret, new(recordedGenerations))
-			answered := make(chan error, 1)
-			go func() { answered <- pool.Call(context.Background(), address, "Echo.Hang", &Text{}, &Text{}) }()
-			<-receiver.entered
+			answered := hangingCall(pool, address, receiver)
 
 			err := pool.Call(context.Background(), address, "Echo.Say", test.args, test.reply)
 			qt.Check(t, errors.Is(err, peer.ErrBroken), qt.IsTrue)
--- a/internal/tally/restart_test.go
+++ b/internal/tally/restart_test.go
@@ -194,6 +194,14 @@
 	}
 }
 
+// checkWindow checks that no window has more requests than the limit allows.
+func checkWindow(t *testing.T, limit quota.Limit, allowed []time.Time) {
+	t.Helper()
+	bound := (limit.Rate*window.Seconds()+limit.Burst)*overage + slack
+	t.Logf("%d requests in a window, bound %.0f", history.MaxInWindow(allowed, window), bound)
+	qt.Check(t, float64(history.MaxInWindow(allowed, window)) <= bound, qt.IsTrue)
+}
+
 // TestLimitHeldWhileHostsRestartInTurn guards against homes that add tokens as they change.
 func TestLimitHeldWhileHostsRestartInTurn(t *testing.T) {
 	for seed := range uint64(20) {
@@ -205,9 +213,7 @@
 				f := newRestartingFleet(ctx, 14, limit, seed)
 				f.spendFor(300, 5*time.Second)
 				allowed, _ := f.spendWhileRestarting(300, time.Second)
-				bound := (limit.Rate*window.Seconds()+limit.Burst)*overage + slack
-				t.Logf("%d requests in a window, bound %.0f", history.MaxInWindow(allowed, window), bound)
-				qt.Check(t, float64(history.MaxInWindow(allowed, window)) <= bound, qt.IsTrue)
+				checkWindow(t, limit, allowed)
 				cancel()
 				time.Sleep(time.Second) // Wait for reports in flight.
 			})
--- a/internal/tally/search_test.go
+++ b/internal/tally/search_test.go
@@ -9,7 +9,6 @@
 
 	qt "github.com/frankban/quicktest"
 
-	"curranthold.example/curranthold/internal/history"
 	"curranthold.example/curranthold/internal/quota"
 )
 
@@ -58,9 +57,7 @@
 				f.introduceAll(restarted)
 				after, _ := f.spendFor(400, 5*time.Second)
 				allowed = slices.Concat(allowed, alone, after)
-				bound := (limit.Rate*window.Seconds()+limit.Burst)*overage + slack
-				t.Logf("%d requests in a window, bound %.0f", history.MaxInWindow(allowed, window), bound)
-				qt.Check(t, float64(history.MaxInWindow(allowed, window)) <= bound, qt.IsTrue)
+				checkWindow(t, limit, allowed)
 				cancel()
 				time.Sleep(time.Second) // Wait for reports in flight.
 			})
