Don't reset a connection whose other host responds while nothing reads there

Evidence: TCP_INFO of such a connection every 200 ms, nothing in flight, 25,904 bytes unsent, window 0, probes answered; ETIMEDOUT after 2.27 s; with the option off the connection was still there after 9 s. The same on connections to backend servers, the platform and other nodes; a reader that takes 1,000 bytes each 250 ms was reset too; and a connection that a stopping node closed lost what was left 2 s later.

Change: the option stays. While written data is not acknowledged, a connection is looked at each 250 ms. Stalled ones (window closed, or data refused though the host answers) get a longer timeout and a probe each second, and are ended by the node itself when two probes and 2.25 s go unanswered. One that is closed with data pending is left to the kernel for 30 s.

--- a/internal/node/drain.go
+++ b/internal/node/drain.go
@@ -8,6 +8,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"curranthold.example/curranthold/internal/socket"
 )
 
 const (
@@ -61,7 +63,7 @@
 // backlog before it is closed. Closing it at once would reset these connections
 // and lose the requests that were sent on them.
 type backlogListener struct {
-	*net.TCPListener
+	*socket.TCPListener
 	// end is the Unix time in nanoseconds at which draining ends, 0 before it
 	// starts.
 	end    atomic.Int64
@@ -69,7 +71,7 @@
 	closed chan struct{}
 }
 
-func newBacklogListener(l *net.TCPListener) *backlogListener {
+func newBacklogListener(l *socket.TCPListener) *backlogListener {
 	return &backlogListener{TCPListener: l, closed: make(chan struct{})}
 }
 
--- a/internal/node/listen.go
+++ b/internal/node/listen.go
@@ -54,7 +54,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return newBacklogListener(listener.(*net.TCPListener)), nil
+	return newBacklogListener(listener.(*socket.TCPListener)), nil
 }
 
 // close closes those listeners that are still open.
