Don't let a node that does not read hold up calls beyond their context

What callers saw: with a node suspended and the buffer of the connection to it full, every call to it blocked in the write of the one before, also after its own context had ended: 2.27 s in a test with contexts of 0.2 and 1 s.

Cause: net/rpc's Client.Go writes the request itself, under a lock.

Change: the request is written in the background. A call that ends before its request is begun takes it back and is reported as not sent, which is true then. Arguments are no longer read once Call has returned. A connection that has been stalled for 2 s takes no new calls, as before, but keeps those it has. A host is not recorded as unreachable because a call to it was cancelled before it was sent.

Ruled out: closing the stalled connection, which would give up the running calls of a host that is only paused; a deadline on the write, for the same reason.

--- a/internal/entry/remote.go
+++ b/internal/entry/remote.go
@@ -111,7 +111,9 @@
 func (e *Entry) unansweredError(a *remoteAttempt, err error) error {
 	host := a.host
 	if errors.Is(err, peer.ErrNotSent) {
-		e.config.Balancer.RecordUnreachable(host.ID, time.Now())
+		if !errors.Is(a.ctx.Err(), context.Canceled) {
+			e.config.Balancer.RecordUnreachable(host.ID, time.Now())
+		}
 		return verdict.New(verdict.NotRun, verdict.PeerUnreachable, "host %s: %v", host.ID, err)
 	}
 	e.wg.Go(func() { e.cancelRemote(host, a.request.ID) })
--- a/internal/peer/codec.go
+++ b/internal/peer/codec.go
@@ -34,16 +34,17 @@
 	return g
 }
 
-// send encodes header and body into one frame and writes it. The bytes are counted
-// for the service of the net/rpc method.
-func (g *gobConn) send(header, body any, method string) error {
+// encode encodes header and body into the frame that write sends.
+func (g *gobConn) encode(header, body any) error {
 	beginFrame(&g.out)
 	if err := g.enc.Encode(header); err != nil {
 		return err
 	}
-	if err := g.enc.Encode(body); err != nil {
-		return err
-	}
+	return g.enc.Encode(body)
+}
+
+// write sends the frame. The bytes are counted for the service of the net/rpc method.
+func (g *gobConn) write(method string) error {
 	n, err := writeFrame(g.conn, g.generations.Current(), &g.out)
 	countSent(method, n)
 	return err
@@ -68,11 +69,54 @@
 	return g.dec.Decode(body)
 }
 
-// requestBody is the body of a request. The flag started is set before the request is
-// encoded: while it is not set, no part of the request has been sent.
+// requestState says how far a request has got.
+type requestState int32
+
+const (
+	// requestWaiting is the state before the request is encoded. No part of it has
+	// been sent.
+	requestWaiting requestState = iota
+	// requestStarted is the state from then on.
+	requestStarted
+	// requestAbandoned is the state of a request that is never sent, because its call
+	// ended before.
+	requestAbandoned
+)
+
+// errAbandoned is the error of a request in state requestAbandoned.
+var errAbandoned = errors.New("peer: the call ended before its request was sent")
+
+// requestBody is the body of a request.
 type requestBody struct {
-	args    any
-	started atomic.Bool
+	args  any
+	state atomic.Int32
+	// encoded is closed once args is not read any more. It is not closed if the
+	// request is abandoned.
+	encoded chan struct{}
+}
+
+func newRequestBody(args any) *requestBody {
+	return &requestBody{args: args, encoded: make(chan struct{})}
+}
+
+// start reports whether the request is to be sent.
+func (b *requestBody) start() bool {
+	return b.state.CompareAndSwap(int32(requestWaiting), int32(requestStarted))
+}
+
+// abandon keeps the request from being sent. It returns false if it has been started;
+// then args is not read any more once it returns.
+func (b *requestBody) abandon() bool {
+	if b.state.CompareAndSwap(int32(requestWaiting), int32(requestAbandoned)) {
+		return true
+	}
+	<-b.encoded
+	return false
+}
+
+// started reports whether a part of the request may have been sent.
+func (b *requestBody) started() bool {
+	return requestState(b.state.Load()) == requestStarted
 }
 
 // responseBody is the body of a response. The field err is the error of decoding it,
@@ -95,8 +139,14 @@
 		return c.sendErr
 	}
 	request := body.(*requestBody)
-	request.started.Store(true)
-	c.sendErr = c.send(r, request.args, r.ServiceMethod)
+	if !request.start() {
+		return errAbandoned
+	}
+	c.sendErr = c.encode(r, request.args)
+	close(request.encoded)
+	if c.sendErr == nil {
+		c.sendErr = c.write(r.ServiceMethod)
+	}
 	return c.sendErr
 }
 
@@ -122,7 +172,10 @@
 func (c serverCodec) ReadRequestBody(body any) error         { return c.receiveBody(body) }
 
 func (c serverCodec) WriteResponse(r *rpc.Response, body any) error {
-	err := c.send(r, body, r.ServiceMethod)
+	err := c.encode(r, body)
+	if err == nil {
+		err = c.write(r.ServiceMethod)
+	}
 	if err != nil {
 		// The decoder at the other side may have missed part of the gob stream,
 		// so the connection can't be used any more.
--- a/internal/peer/pool.go
+++ b/internal/peer/pool.go
@@ -21,6 +21,9 @@
 	dialTimeout = 400 * time.Millisecond
 	// idleTimeout is how long a connection without calls is kept open.
 	idleTimeout = time.Minute
+	// stallTimeout is how long a connection may be stalled before it takes no more
+	// calls.
+	stallTimeout = 2 * time.Second
 )
 
 // Pool keeps one connection to each node that it calls. It implements Caller.
@@ -38,10 +41,17 @@
 	wg      conc.WaitGroup
 }
 
+// stallingConn is a connection that knows for how long the other node has not read, 0
+// if it reads.
+type stallingConn interface {
+	StalledFor() time.Duration
+}
+
 // pooledConn is one connection of a pool, or an attempt to open one. The channel
 // opened is closed when the attempt has ended; client or err is set by then.
 type pooledConn struct {
 	opened   chan struct{}
+	conn     stallingConn
 	client   *rpc.Client
 	err      error
 	lastUsed time.Time
@@ -71,14 +81,17 @@
 		return fmt.Errorf("%w: %s: %w", ErrNotSent, address, err)
 	}
 	defer p.release(c)
-	request := &requestBody{args: args}
+	request := newRequestBody(args)
 	response := &responseBody{reply: reply}
-	pending := c.client.Go(method, request, response, make(chan *rpc.Call, 1))
+	done := make(chan *rpc.Call, 1)
+	if err := p.start(func() { c.client.Go(method, request, response, done) }); err != nil {
+		return fmt.Errorf("%w: %s: %w", ErrNotSent, address, err)
+	}
+	var pending *rpc.Call
 	select {
 	case <-ctx.Done():
-		callsBroken.Add(1)
-		return fmt.Errorf("%w: %w", ErrBroken, ctx.Err())
-	case <-pending.Done:
+		return abandon(ctx, address, request)
+	case pending = <-done:
 	}
 	if response.err != nil {
 		callsBroken.Add(1)
@@ -87,6 +100,27 @@
 	return p.outcome(address, c, request, pending.Error)
 }
 
+// start runs send in the background, since it blocks while the other node does not read.
+func (p *Pool) start(send func()) error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.closed {
+		return net.ErrClosed
+	}
+	p.wg.Go(send)
+	return nil
+}
+
+// abandon ends a call whose context has ended, and returns its error.
+func abandon(ctx context.Context, address string, request *requestBody) error {
+	if request.abandon() {
+		callsNotSent.Add(1)
+		return fmt.Errorf("%w: %s: %w", ErrNotSent, address, ctx.Err())
+	}
+	callsBroken.Add(1)
+	return fmt.Errorf("%w: %w", ErrBroken, ctx.Err())
+}
+
 // outcome converts the error of a finished net/rpc call to one that Call returns,
 // and retires the connection if it may be broken.
 func (p *Pool) outcome(address string, c *pooledConn, request *requestBody, err error) error {
@@ -95,7 +129,7 @@
 		return err
 	}
 	p.retire(address, c)
-	if !request.started.Load() {
+	if !request.started() {
 		callsNotSent.Add(1)
 		return fmt.Errorf("%w: %s: %w", ErrNotSent, address, err)
 	}
@@ -112,6 +146,10 @@
 		return nil, net.ErrClosed
 	}
 	c, ok := p.conns[address]
+	if ok && c.stalled() {
+		p.retireLocked(address, c)
+		ok = false
+	}
 	if !ok {
 		c = &pooledConn{opened: make(chan struct{})}
 		p.conns[address] = c
@@ -132,6 +170,12 @@
 	return c, nil
 }
 
+// stalled reports whether the other node has not read for stallTimeout. Only the holder
+// of the pool's lock may call it.
+func (c *pooledConn) stalled() bool {
+	return c.conn != nil && c.conn.StalledFor() >= stallTimeout
+}
+
 func (p *Pool) release(c *pooledConn) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -145,9 +189,9 @@
 
 // open dials the address and performs the handshake.
 func (p *Pool) open(address string, c *pooledConn) {
-	client, err := p.dial(address)
+	conn, client, err := p.dial(address)
 	p.mu.Lock()
-	c.client, c.err = client, err
+	c.conn, c.client, c.err = conn, client, err
 	if p.closed && err == nil {
 		c.err = net.ErrClosed
 		_ = client.Close()
@@ -159,20 +203,21 @@
 	close(c.opened)
 }
 
-func (p *Pool) dial(address string) (*rpc.Client, error) {
+func (p *Pool) dial(address string) (stallingConn, *rpc.Client, error) {
 	dialer := socket.Dialer(dialTimeout)
 	dialer.LocalAddr = p.localAddr()
 	conn, err := dialer.DialContext(context.Background(), "tcp", address)
 	if err != nil {
-		return nil, err
+		return nil, nil, err
 	}
 	reader := bufio.NewReader(conn)
 	if err := clientHandshake(conn, reader, p.secret, p.address); err != nil {
 		_ = conn.Close()
-		return nil, err
+		return nil, nil, err
 	}
 	connectionsOpened.Add(1)
-	return rpc.NewClientWithCodec(&clientCodec{gobConn: newGobConn(conn, reader, p.generations, address)}), nil
+	client := rpc.NewClientWithCodec(&clientCodec{gobConn: newGobConn(conn, reader, p.generations, address)})
+	return conn.(stallingConn), client, nil
 }
 
 // localAddr returns the local address for outgoing connections: the IP address of
@@ -191,9 +236,18 @@
 func (p *Pool) retire(address string, c *pooledConn) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.retireLocked(address, c)
+}
+
+// retireLocked is retire for a holder of the lock.
+func (p *Pool) retireLocked(address string, c *pooledConn) {
 	if p.conns[address] == c {
 		delete(p.conns, address)
 	}
+	if c.inUse == 0 {
+		_ = c.client.Close()
+		return
+	}
 	p.retired[c] = struct{}{}
 }
 
