Bound the time to write an answer by progress, not as a whole

What callers would see: an answer of 1 MiB to a caller that reads 4 KiB a second is cut off after 30 s, although the caller goes on reading.

Cause: one write deadline of 30 s for the whole body.

Change: the deadline is set anew for each 16 KiB. A caller that takes less in 30 s is given up, so that it can't hold the node's memory for good.

--- a/internal/entry/http.go
+++ b/internal/entry/http.go
@@ -20,8 +20,10 @@
 const (
 	// bodyTimeout bounds the time to read a request's body.
 	bodyTimeout = 10 * time.Second
-	// answerTimeout bounds the time to write a response to a caller.
-	answerTimeout = 30 * time.Second
+	// answerTimeout bounds the time to write answerPieceBytes of a response to a
+	// caller, so that one who reads slowly gets all of a large response.
+	answerTimeout    = 30 * time.Second
+	answerPieceBytes = 16 << 10
 	// maxTimeout bounds the timeout that a caller may set.
 	maxTimeout = 10 * time.Minute
 	// maxRequestIDBytes bounds the length of a request identifier.
@@ -113,8 +115,8 @@
 
 // writeAnswer sends the response, or the error if err is not nil, to the caller.
 func (e *Entry) writeAnswer(w http.ResponseWriter, x *activeCall, err error) {
-	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(answerTimeout))
 	if err != nil {
+		_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(answerTimeout))
 		e.writeError(w, x, err)
 		return
 	}
@@ -124,11 +126,25 @@
 	e.config.Codec.WriteAnswer(w.Header(), x.request.RequestID)
 	w.Header().Set("Content-Length", strconv.Itoa(len(x.answer.Body)))
 	w.WriteHeader(x.answer.Status)
-	_, _ = w.Write(x.answer.Body)
+	writeBody(w, x.answer.Body)
 	metricServed[x.request.Urgency].Add(1)
 	metricLatency.Record(time.Since(x.arrived))
 }
 
+// writeBody writes the body of a response. It gives up if the caller's connection fails, or
+// takes no answerPieceBytes within answerTimeout.
+func writeBody(w http.ResponseWriter, body []byte) {
+	control := http.NewResponseController(w)
+	for first := true; first || len(body) > 0; first = false {
+		piece := body[:min(len(body), answerPieceBytes)]
+		_ = control.SetWriteDeadline(time.Now().Add(answerTimeout))
+		if _, err := w.Write(piece); err != nil {
+			return
+		}
+		body = body[len(piece):]
+	}
+}
+
 func (e *Entry) writeError(w http.ResponseWriter, x *activeCall, err error) {
 	failure := verdict.From(err)
 	metricRefused.Add(string(failure.Code)+"-"+failure.Verdict.String(), 1)
