Route requests whose path is that of tickets where no tickets are issued

Cause: the caller handler took the path for the product's own ticket interface before it looked for a route, with every method, and also where an adapter replaces the interface.

Evidence: POST /v1/orders on the same route is served with the same key in the same second. Ruled out: a route that is not in force, the key, the longest prefix (/v1/tickets/ and /v1/tickets/1 were served before).

Change: a request is one for tickets only if the node issues tickets, and by POST alone. On the users' platform the path is like any other.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -76,7 +76,8 @@
 	Codec         Codec
 	Configuration Configuration
 	Quota         Quota
-	// Claims may be nil if no request has an idempotency key or ticket.
+	// Claims may be nil if no request has an idempotency key or ticket. Callers then
+	// can't request tickets, and the path at which they would is like any other.
 	Claims   Claims
 	Balancer *balance.Balancer
 	Peers    peer.Caller
@@ -246,7 +247,7 @@
 // CallerHandler returns the handler for calls from callers.
 func (e *Entry) CallerHandler() http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if r.URL.Path == ticketPath {
+		if e.requestsTickets(r) {
 			e.serveTickets(w, r)
 			return
 		}
@@ -254,6 +255,12 @@
 	})
 }
 
+// requestsTickets reports whether a request from a caller is one for tickets and not a
+// call.
+func (e *Entry) requestsTickets(r *http.Request) bool {
+	return e.config.Claims != nil && r.Method == http.MethodPost && r.URL.Path == ticketPath
+}
+
 // LeavingHandler returns the handler for calls from callers while this node shuts down.
 // Until the time given to Leave, it serves calls with an inferred parent, since a call
 // that still runs on this host needs them. It refuses all others.
--- a/internal/entry/http.go
+++ b/internal/entry/http.go
@@ -30,7 +30,7 @@
 	maxRequestIDBytes = 128
 	// maxIdempotencyKeyBytes bounds the length of an idempotency key.
 	maxIdempotencyKeyBytes = 256
-	// ticketPath is the URL path at which callers request tickets.
+	// ticketPath is the URL path at which callers request tickets, with method POST.
 	ticketPath = "/v1/tickets"
 	// maxTickets bounds the number of tickets issued per request.
 	maxTickets = 1000
@@ -171,9 +171,6 @@
 }
 
 func (e *Entry) issueTickets(ctx context.Context, r *http.Request) (ticketAnswer, error) {
-	if r.Method != http.MethodPost {
-		return ticketAnswer{}, verdict.New(verdict.NotRun, verdict.BadRequest, "tickets are fetched by POST")
-	}
 	count := 1
 	if text := r.URL.Query().Get("count"); text != "" {
 		n, err := strconv.Atoi(text)
