Don't answer OPTIONS * with a success of the node's own

Cause: net/http answers this request itself unless told otherwise.

Change: told otherwise; the request has no route and gets 404.

Test: TestPathOptionsWithoutPath, 200 before, 404 now.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -411,6 +411,8 @@
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
+		// A caller must not get a success that no backend server gave.
+		DisableGeneralOptionsHandler: true,
 	}
 	n.servers = append(n.servers, server)
 	n.wg.Go(func() { _ = server.Serve(listener) })
