Don't extend the timeout of a connection whose kernel reports no times

Change: a host counts as answering only if the time since data was sent is reported.

Test: TestSending, case "times not reported", failed before.

--- a/internal/socket/sending.go
+++ b/internal/socket/sending.go
@@ -50,10 +50,12 @@
 
 // stalled reports whether data is held back although the other host responds: either
 // its receive window was closed before any of the data was sent, or none was
-// acknowledged since the earlier state, although the host has answered.
+// acknowledged since the earlier state, although the host has answered. A system that
+// does not report the times never shows the latter.
 func (s sending) stalled(earlier sending) bool {
 	windowClosed := s.unsentBytes > 0 && s.unackedSegments == 0
-	refused := s.unackedSegments > 0 && s.ackedBytes == earlier.ackedBytes && !s.awaitsAck()
+	answered := s.sinceSent > 0 && s.sinceAck <= s.sinceSent
+	refused := s.unackedSegments > 0 && s.ackedBytes == earlier.ackedBytes && answered
 	return windowClosed || refused
 }
 
--- a/internal/socket/sending_test.go
+++ b/internal/socket/sending_test.go
@@ -23,6 +23,7 @@
 		"probes unanswered":        {now: sending{unsentBytes: 9, probes: 2, sinceAck: 2400 * ms, sinceSent: 9 * time.Second}, pending: true, stalled: true, unanswered: true},
 		"probes just sent":         {now: sending{unsentBytes: 9, probes: 2, sinceAck: 2100 * ms, sinceSent: 9 * time.Second}, pending: true, stalled: true},
 		"retransmitted in vain":    {now: sending{unackedSegments: 1, sinceAck: 2400 * ms, sinceSent: 300 * ms}, pending: true, unanswered: true},
+		"times not reported":       {now: sending{unackedSegments: 3}, pending: true},
 		"acknowledged, but slowly": {earlier: sending{ackedBytes: 1}, now: sending{unackedSegments: 1, ackedBytes: 2, sinceAck: 200 * ms, sinceSent: 300 * ms}, pending: true},
 	}
 	for name, test := range tests {
