Drop what was not sent of requests when their connection is closed

One that was dialed gets back its timeout of 2 s when it is closed.

Tests: TestClosedByDialer fails without it (the reader got all 30,000 bytes), passes with it.

--- a/internal/socket/conn.go
+++ b/internal/socket/conn.go
@@ -33,6 +33,8 @@
 type Conn struct {
 	*net.TCPConn
 	raw syscall.RawConn
+	// accepted is set if the other host opened the connection.
+	accepted bool
 	// writes is the number of writes in progress.
 	writes atomic.Int32
 	// watched is set while the timer of the next check runs.
@@ -54,15 +56,16 @@
 	normalInterval time.Duration
 }
 
-// newConn returns a Conn that takes over the TCP connection.
-func newConn(conn net.Conn) (*Conn, error) {
+// newConn returns a Conn that takes over the TCP connection. Accepted is set if the other
+// host opened it.
+func newConn(conn net.Conn, accepted bool) (*Conn, error) {
 	tcp := conn.(*net.TCPConn)
 	raw, err := tcp.SyscallConn()
 	if err != nil {
 		_ = tcp.Close()
 		return nil, err
 	}
-	return &Conn{TCPConn: tcp, raw: raw}, nil
+	return &Conn{TCPConn: tcp, raw: raw, accepted: accepted}, nil
 }
 
 // Write implements net.Conn.
@@ -78,14 +81,20 @@
 	return io.Copy(struct{ io.Writer }{c}, r)
 }
 
-// Close implements net.Conn. Data that was written before is still sent if the other
-// host goes on to respond, also if nothing reads there for some seconds.
+// Close implements net.Conn. On an accepted connection, which carries answers, data that
+// was written before is still sent if the other host goes on to respond, also if nothing
+// reads there for some seconds. On one that was dialed, requests that nobody waits for are
+// dropped after userTimeout.
 func (c *Conn) Close() error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.stop()
-	if c.watched.Load() {
+	switch {
+	case !c.watched.Load():
+	case c.accepted:
 		c.linger()
+	default:
+		c.restore()
 	}
 	return c.TCPConn.Close()
 }
--- a/internal/socket/reader_test.go
+++ b/internal/socket/reader_test.go
@@ -86,6 +86,9 @@
 	}
 	for name, test := range tests {
 		for side, open := range opened {
+			if test.closed && side == "dialed" {
+				continue // See TestClosedByDialer.
+			}
 			t.Run(name+", "+side, func(t *testing.T) {
 				t.Parallel()
 				writer, reader := open(t, test.receiveBuffer)
@@ -119,6 +122,21 @@
 	}
 }
 
+// TestClosedByDialer guards against a request that arrives late at a process that did not read, after its sender has given it up.
+func TestClosedByDialer(t *testing.T) {
+	t.Parallel()
+	writer, reader := dialedWriter(t, smallWindow)
+	defer func() { _ = reader.Close() }()
+	_, err := writer.Write(make([]byte, 30_000))
+	qt.Assert(t, err, qt.IsNil)
+	time.Sleep(3 * time.Second)
+	qt.Assert(t, writer.Close(), qt.IsNil)
+	time.Sleep(noticeTime)
+	received, err := io.Copy(io.Discard, reader)
+	qt.Check(t, err, qt.ErrorIs, syscall.ECONNRESET)
+	qt.Check(t, received < 30_000, qt.IsTrue)
+}
+
 // cutOff makes the connection's host appear cut off: nothing that the other side sends
 // on the connection arrives.
 func cutOff(t *testing.T, conn net.Conn) {
--- a/internal/socket/socket.go
+++ b/internal/socket/socket.go
@@ -47,7 +47,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return newConn(conn)
+	return newConn(conn, false)
 }
 
 // TCPListenConfig opens listeners of type *TCPListener.
@@ -82,7 +82,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return newConn(conn)
+	return newConn(conn, true)
 }
 
 // setOptions sets TCP_USER_TIMEOUT, for which package net has no option. An
