Send the stated rate in TestNamedRateLimitIsKept

Cause, shown: the sender slept 5 ms after each call, so that each late wake-up lowered its rate.

Change: the calls are sent by the clock, those whose time has passed at once. Bounds, rates and times are as before, and the sender now reaches the rate that the check supposes.

Ruled out: the limit itself, which the first two checks cover; they never failed.

--- a/internal/owner/notice_test.go
+++ b/internal/owner/notice_test.go
@@ -40,11 +40,15 @@
 }
 
 // callAtRate sends perSecond calls a second for the duration d and returns how many
-// reached the backend server.
+// reached the backend server. Calls whose time has passed are sent at once, so that their
+// number doesn't depend on how promptly the sender wakes up.
 func (s *noticeServer) callAtRate(o *owner.Owner, perSecond int, d time.Duration) int64 {
 	before := s.arrivals.Load()
 	var calls sync.WaitGroup
-	for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(time.Second / time.Duration(perSecond)) {
+	interval := time.Second / time.Duration(perSecond)
+	start := time.Now()
+	for at := time.Duration(0); at < d; at += interval {
+		time.Sleep(time.Until(start.Add(at)))
 		calls.Go(func() {
 			r := request()
 			r.Patience = 100 * time.Millisecond
