Close the raw test server's connections under its lock

The server's own function had closed the connection before it left the list, so Close closed it a second time. The connection now leaves the list and is closed under the lock. No check is changed.

--- a/internal/standin/raw.go
+++ b/internal/standin/raw.go
@@ -69,11 +69,13 @@
 	return true
 }
 
+// untrack closes a connection. It does so with the lock held, so that Close doesn't
+// find the connection closed already and report that as an error.
 func (s *RawServer) untrack(c *RawConn) {
-	_ = c.conn.Close()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	delete(s.conns, c)
+	_ = c.conn.Close()
 }
 
 // Close closes all connections and waits for their functions to return.
