Start the limit of a server that says that it is warm at its slots

Backend servers of some deployments say that they are not cold, and their service declares no cold rate. The node ramped them all the same: at its own restart, at the first announcement and at each change of incarnation the limit began at a twentieth of the slots, so that most requests of the first seconds were refused with cold-start.

With the new setting warm-start (off by default, on with the platform's adapter, ignored without an adapter) the limit of such a server starts at its slots. It is effective only if the service is known to be declared without a cold rate; a ramp that began before that was known ends with the next announcement. The ramp stays for servers that say that they are cold, after slow or broken requests and after refusals, and a later announcement that says warm doesn't end it. Nothing changes where a cold rate is declared.

Ruled out: following the age of the server for the first seconds. The limit counts running requests, so a slow server gets fewer a second by itself, and the age depends on a clock that may be wrong.

The packages admission, owner, node, settings and platform pass.

--- a/internal/admission/cold_test.go
+++ b/internal/admission/cold_test.go
@@ -22,16 +22,16 @@
 }
 
 // measureCold resets the backend server under a load of 0.7 times its capacity.
-func measureCold(t *testing.T, breaks, refuses bool, config admission.Config) coldResults {
+func measureCold(t *testing.T, breaks, refuses bool, config admission.Config, resetAt time.Duration, warm bool) coldResults {
 	var f coldResults
-	const resetAt, end = 6 * time.Second, 20 * time.Second
+	const end = 20 * time.Second
 	synctest.Test(t, func(t *testing.T) {
 		random := rand.New(rand.NewPCG(*surgeSeed, *surgeSeed))
 		b := newBackend(slots)
 		b.refuses = refuses
 		c := admission.New(config)
 		defer c.Close()
-		c.Announce(admission.Announcement{Slots: slots, Incarnation: "one"})
+		c.Announce(admission.Announcement{Slots: slots, Incarnation: "one", Warm: warm})
 		time.AfterFunc(resetAt, func() { b.reset(breaks) })
 		rates := map[string]float64{"a": 100, "b": 200, "c": 300, "greedy": 100}
 		calls := load{accounts: rates, to: end, work: work}.calls(random)
@@ -67,7 +67,7 @@
 	for name, test := range tests {
 		for variant, disabled := range variants {
 			t.Run(name+"/"+variant, func(t *testing.T) {
-				f := measureCold(t, test.breaks, test.refuses, admission.Config{Disabled: disabled})
+				f := measureCold(t, test.breaks, test.refuses, admission.Config{Disabled: disabled}, 6*time.Second, false)
 				t.Logf("%s, %s: seed %d: crashes %d, refusals %d, worst overload %.1f, recovery %v, answered %.3f",
 					name, variant, *surgeSeed, f.crashes, f.refusals, f.worstOverload, f.recovery, f.answered)
 				if disabled == 0 {
--- a/internal/admission/config.go
+++ b/internal/admission/config.go
@@ -71,6 +71,9 @@
 	Connections int
 	// Cold reports whether the backend server is in cold start.
 	Cold bool
+	// Warm reports whether the backend server is known to be warm, so that the
+	// limit starts at the slots. It has no effect if Cold or ColdRate is set.
+	Warm bool
 	// Incarnation changes each time the backend server starts.
 	Incarnation string
 	// ColdRate is the number of requests a second that the backend server can
@@ -89,6 +92,8 @@
 	return max(a.Slots, 0)
 }
 
+func (a *Announcement) warm() bool { return a.Warm && !a.Cold && a.ColdRate == 0 }
+
 // Request describes a request to a Controller.
 type Request struct {
 	// Account is the client account, empty on an open route.
--- a/internal/admission/controller.go
+++ b/internal/admission/controller.go
@@ -64,8 +64,8 @@
 // Announce sets the state that the backend server reports. The limit starts
 // again at its minimum and rises gradually after the first announcement, after
 // a change of incarnation, and when the backend server turns from warm to cold.
-// The limit is not lowered if the announcement states a ColdRate or if ColdRamp
-// is disabled.
+// The limit is not lowered if the announcement states a ColdRate, if it sets
+// Warm, or if ColdRamp is disabled.
 func (c *Controller) Announce(a Announcement) {
 	c.mu.Lock()
 	now := c.now()
@@ -78,7 +78,7 @@
 	c.incarnation = a.Incarnation
 	c.limiter.coldRateAnnounced = a.ColdRate > 0
 	c.coldPacer.set(a.ColdRate, a.ColdRemaining, now)
-	ramped := c.limiter.announce(a.slots(), a.Cold, restart, now)
+	ramped := c.limiter.announce(a.slots(), a.Cold, a.warm(), restart, now)
 	if c.limiter.slots == 0 {
 		c.refuseQueued(func(*waiter) *verdict.Error {
 			return verdict.New(verdict.NotRun, verdict.ColdStart, "the backend server takes no more requests")
--- a/internal/admission/limiter.go
+++ b/internal/admission/limiter.go
@@ -130,6 +130,10 @@
 	coldRateAnnounced bool
 	// ramping reports whether the limit is being raised towards slots.
 	ramping bool
+	// unconfirmed reports whether the current ramp began with an announcement
+	// that did not say that the backend server is cold. An announcement that
+	// says that it is warm ends such a ramp.
+	unconfirmed bool
 	// rampStart is when the current ramp began.
 	rampStart time.Time
 	// increment is the amount of the next increase of the limit.
@@ -181,14 +185,26 @@
 
 // announce sets the announced slots and whether the backend server announces
 // that it is cold. If restart is set or the backend server turned cold, it
-// calls startRamp, and reports true unless a cold rate is announced.
-func (l *limiter) announce(slots int, cold, restart bool, now time.Time) bool {
+// calls startRamp, and reports true unless a cold rate is announced. If warm is
+// set, a restart, the first slots and an unconfirmed ramp set the limit to the
+// slots instead.
+func (l *limiter) announce(slots int, cold, warm, restart bool, now time.Time) bool {
 	turnedCold := cold && !l.cold
 	l.cold = cold
+	first := l.slots == 0 && !l.ramping
 	grew := slots > l.slots
 	l.slots = slots
+	if warm && (restart || first || l.unconfirmed) {
+		if restart {
+			l.reset(now)
+		}
+		l.limit = float64(slots)
+		l.ramping, l.unconfirmed = false, false
+		return false
+	}
 	if restart || turnedCold {
 		l.startRamp(now)
+		l.unconfirmed = l.ramping && !cold
 		return !l.coldRateAnnounced
 	}
 	l.limit = max(min(l.limit, float64(slots)), l.minLimit())
@@ -200,9 +216,21 @@
 
 // startRamp resets the estimates and lowers the limit to its minimum. If a cold
 // rate is announced or ColdRamp is disabled, the limit becomes the number of
-// slots instead. The typical times become the baseline unless they were taken
-// during a ramp.
+// slots instead.
 func (l *limiter) startRamp(now time.Time) {
+	l.reset(now)
+	if l.coldRateAnnounced || !l.config.enabled(ColdRamp) {
+		l.limit = float64(l.slots)
+		return
+	}
+	l.limit = l.minLimit()
+	l.ramping = true
+}
+
+// reset discards the estimates. The typical times become the baseline unless
+// they were taken during a ramp.
+func (l *limiter) reset(now time.Time) {
+	l.unconfirmed = false
 	l.interval = interval{start: now}
 	l.rampStart = now
 	l.increment = 1
@@ -216,12 +244,6 @@
 		}
 	}
 	l.typical = [concurrencyLevels]time.Duration{}
-	if l.coldRateAnnounced || !l.config.enabled(ColdRamp) {
-		l.limit = float64(l.slots)
-		return
-	}
-	l.limit = l.minLimit()
-	l.ramping = true
 }
 
 // observe processes a finished request. It reports whether recent requests
@@ -292,7 +314,7 @@
 	}
 	l.limit = max(float64(s.remaining), l.limit*refusalCut, l.minLimit())
 	l.increment = 1
-	l.ramping = true
+	l.ramping, l.unconfirmed = true, false
 }
 
 // updateTypical adds a successful request to the typical time at its
@@ -383,7 +405,7 @@
 	}
 	if l.limit >= float64(l.slots) {
 		l.limit = float64(l.slots)
-		l.ramping = false
+		l.ramping, l.unconfirmed = false, false
 	}
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -174,6 +174,7 @@
 		IsKeyWithdrawn:    n.isKeyWithdrawn,
 		Codec:             n.adapter.Backend,
 		Service:           n.declaredService,
+		WarmStart:         n.adapter.external() && n.settings.Limits.WarmStart,
 
 		RequestIDTokens: n.adapter.external(),
 		AnnouncementTTL: n.settings.AnnouncementTTL(),
@@ -211,10 +212,10 @@
 	return err
 }
 
-// declaredService returns the declared spec of a service, the zero spec if there
-// is none.
-func (n *Node) declaredService(name string) object.ServiceSpec {
-	return n.configuration.Snapshot().Services()[name]
+// declaredService returns the spec of a service and whether it is declared.
+func (n *Node) declaredService(name string) (spec object.ServiceSpec, declared bool) {
+	spec, declared = n.configuration.Snapshot().Services()[name]
+	return spec, declared
 }
 
 // Run serves until ctx is done, then shuts down gracefully and returns. It calls
--- a/internal/owner/heartbeat.go
+++ b/internal/owner/heartbeat.go
@@ -7,6 +7,7 @@
 
 	"curranthold.example/curranthold/internal/admission"
 	"curranthold.example/curranthold/internal/event"
+	"curranthold.example/curranthold/pkg/object"
 )
 
 // maxDeparted bounds the size of Owner.departed, which is cleared when it is full.
@@ -142,18 +143,19 @@
 	if a.Connections == 0 {
 		a.Connections = a.Slots
 	}
-	var coldRate float64
+	var spec object.ServiceSpec
+	declared := false
 	if o.config.Service != nil {
-		spec := o.config.Service(a.Service)
-		coldRate = spec.ColdRate * cmp.Or(o.config.ColdRateFactor, 1)
+		spec, declared = o.config.Service(a.Service)
 	}
 	changed := o.setBackend(a, startMs)
 	o.config.Admission.Announce(admission.Announcement{
 		Slots:         a.Slots,
 		Connections:   a.Connections,
 		Cold:          a.Cold,
+		Warm:          o.config.WarmStart && declared && !a.Cold && coldFor <= 0,
 		Incarnation:   incarnationID(a.Incarnation, startMs),
-		ColdRate:      coldRate,
+		ColdRate:      spec.ColdRate * cmp.Or(o.config.ColdRateFactor, 1),
 		ColdRemaining: coldFor,
 	})
 	if changed {
--- a/internal/owner/heartbeat_test.go
+++ b/internal/owner/heartbeat_test.go
@@ -14,7 +14,7 @@
 func newTestOwner(t *testing.T) *Owner {
 	o, err := New(Config{
 		Admission: admission.New(admission.Config{}),
-		Service:   func(string) object.ServiceSpec { return object.ServiceSpec{ColdRate: 40} },
+		Service:   func(string) (object.ServiceSpec, bool) { return object.ServiceSpec{ColdRate: 40}, true },
 	})
 	qt.Assert(t, err, qt.IsNil)
 	return o
@@ -117,6 +117,46 @@
 	qt.Assert(t, float64(started) <= limit, qt.IsTrue, qt.Commentf("%d calls started, limit %.1f", started, limit))
 }
 
+// TestWarmHeartbeat checks in which cases the limit starts at the slots: only with
+// WarmStart, for a backend server that says that it isn't cold and whose service is
+// declared without a cold rate. It guards against a ramp that refuses most requests
+// of such a server, and against changes for other services.
+func TestWarmHeartbeat(t *testing.T) {
+	warm := heartbeat("a", 1, 1, false)
+	cold := warm
+	cold.Announcement.Cold = true
+	coldFor := warm
+	coldFor.ColdFor = time.Second
+	const slots, minLimit = 10, 1
+	tests := map[string]struct {
+		off, undeclared bool
+		spec            object.ServiceSpec
+		heartbeat       Heartbeat
+		limit           int
+	}{
+		"warm":              {heartbeat: warm, limit: slots},
+		"setting off":       {off: true, heartbeat: warm, limit: minLimit},
+		"not declared":      {undeclared: true, heartbeat: warm, limit: minLimit},
+		"cold":              {heartbeat: cold, limit: minLimit},
+		"cold time left":    {heartbeat: coldFor, limit: minLimit},
+		"cold rate":         {spec: object.ServiceSpec{ColdRate: 40}, heartbeat: warm, limit: slots},
+		"cold rate, cold":   {spec: object.ServiceSpec{ColdRate: 40}, heartbeat: cold, limit: slots},
+		"off and cold rate": {off: true, spec: object.ServiceSpec{ColdRate: 40}, heartbeat: warm, limit: slots},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			o, err := New(Config{
+				Admission: admission.New(admission.Config{}),
+				WarmStart: !test.off,
+				Service:   func(string) (object.ServiceSpec, bool) { return test.spec, !test.undeclared },
+			})
+			qt.Assert(t, err, qt.IsNil)
+			qt.Assert(t, o.HandleHeartbeat(test.heartbeat), qt.IsNil)
+			qt.Check(t, o.config.Admission.Load().Limit, qt.Equals, test.limit)
+		})
+	}
+}
+
 func shortContext() (context.Context, context.CancelFunc) {
 	return context.WithTimeout(context.Background(), time.Millisecond/10)
 }
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -44,8 +44,12 @@
 	// IsKeyWithdrawn reports whether the client key with that name is known to be
 	// withdrawn. It may be nil.
 	IsKeyWithdrawn func(name string) bool
-	// Service returns the configuration of a service. It may be nil.
-	Service func(name string) object.ServiceSpec
+	// Service returns the spec of a service and whether the service is declared. It
+	// may be nil.
+	Service func(name string) (spec object.ServiceSpec, declared bool)
+	// WarmStart makes the concurrency limit start at the slots if the backend server
+	// says that it isn't cold and its service is declared without a cold rate.
+	WarmStart bool
 	// RequestIDTokens makes Parent find a running call by its RequestID instead of a
 	// random call token. It is set if backend servers pass on no call tokens.
 	RequestIDTokens bool
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -122,6 +122,10 @@
 	MemoryBytes int `json:"memory-bytes"`
 	// IdleMs is how long an idle connection to the backend server is kept open.
 	IdleMs int `json:"idle-ms"`
+	// WarmStart makes the concurrency limit of a backend server that says that it
+	// isn't cold start at its slots, if its service declares no cold rate. A node
+	// without an adapter ignores it.
+	WarmStart bool `json:"warm-start"`
 	// DisabledMechanisms names mechanisms to switch off, to measure the effect of
 	// each. It is meant for tests only.
 	DisabledMechanisms []string `json:"disabled-mechanisms"`
