Add a listener that reads pipelined requests ahead

net/http reads the next request of a connection when the last is answered. A request that a client sends behind another waits outside any queue, deadline and metric until then.

Package pipeline wraps a listener and its connections. While a handler runs, it takes the heads of further safe requests without a body off the connection and hands each to the same http.Server as a connection of its own. Responses are written in the order of the requests. A response that closes the connection drops those behind it: their contexts end and nothing of them is written. Requests a connection, bytes a connection and memory in total are bounded; beyond a bound a request waits as before.

Ruled out: a server loop of our own and a proxy in front (docs/design/ pipelining.md); reading ahead once the only response has begun, since a client that does not pipeline may already send its next request then.

Faults that the randomized test found, with a test of their own now: a connection stayed open if the running request closed it after one behind it had, and the first Accept raced with Close. TestOrder, TestClosingResponse, TestNoReset, TestTimeouts, TestNotReadAhead and TestClientLeaves fail if the code that they guard is removed.

--- /dev/null
+++ b/internal/pipeline/conn.go
@@ -0,0 +1,238 @@
+package pipeline
+
+import (
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"slices"
+	"sync"
+	"time"
+)
+
+const (
+	// firstBufferBytes is the size of a connection's buffer before it grows.
+	firstBufferBytes = 4 << 10
+	// lingerTimeout bounds the time in which a connection that closes still takes what
+	// the client sends. Bytes that nobody reads make the kernel reset the connection,
+	// which may take responses from the client that were already sent.
+	lingerTimeout = 500 * time.Millisecond
+)
+
+// closeWriter is a connection of which one direction can be closed.
+type closeWriter interface{ CloseWrite() error }
+
+// conn is a connection of a client, as the server uses it. Apart from what net/http reads
+// itself, it reads the heads of further requests ahead.
+type conn struct {
+	net.Conn
+	listener *Listener
+
+	// The goroutine that calls Read uses these fields. held is what was read ahead and not
+	// handed on.
+	frame framer
+	held  []byte
+	// refusalCounted is set once the request at the beginning of held was counted as
+	// refused.
+	refusalCounted bool
+
+	mu   sync.Mutex
+	cond sync.Cond
+	// queue holds the turns of the requests that are not answered, in order.
+	queue       []*turn
+	inlineQueue [1]*turn
+	// own is the turn of the request that the server has read itself; it is in the queue
+	// while active is set and the request was not dropped.
+	own    turn
+	active bool
+	// ahead is the number of streams, and pipelined is set once there was one.
+	ahead     int
+	pipelined bool
+	// closed is set by Close, closing when the connection closes after a turn in the
+	// queue, and ended when it closes.
+	closed, closing, ended bool
+	// readErr is the error of reading that is not a timeout.
+	readErr error
+	// readTimeout is the time to the last read deadline when it was set.
+	readTimeout time.Duration
+	// waiting is set while the server waits for the beginning of a request.
+	waiting bool
+	// heldBytes is what the buffer has reserved of the listener's total, and partialBytes
+	// what the incomplete head in frame has.
+	heldBytes, partialBytes int
+}
+
+func newConn(l *Listener, inner net.Conn) *conn {
+	c := &conn{Conn: inner, listener: l}
+	c.cond.L = &c.mu
+	c.queue = c.inlineQueue[:0]
+	c.own.conn = c
+	return c
+}
+
+// isTurn reports whether the request of the turn, which is not answered, is the next one to
+// be answered.
+func (c *conn) isTurn(t *turn) bool { return len(c.queue) == 0 || c.queue[0] == t }
+
+// setState follows the server's handling of the requests that it reads itself.
+func (c *conn) setState(state http.ConnState) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch state {
+	case http.StateActive:
+		c.active = true
+		// Close may have been called while the server read the request.
+		c.own.dropped = c.closing || c.closed || c.ended
+		if !c.own.dropped {
+			c.queue = append(c.queue, &c.own)
+		}
+	case http.StateIdle:
+		c.active = false
+		c.endTurn(&c.own)
+		c.own = turn{conn: c}
+	case http.StateHijacked:
+		c.frame.lose()
+	}
+}
+
+// endTurn removes the turn, whose response is complete, from the queue.
+func (c *conn) endTurn(t *turn) {
+	if t.dropped || len(c.queue) == 0 || c.queue[0] != t {
+		return
+	}
+	copy(c.queue, c.queue[1:])
+	c.queue[len(c.queue)-1] = nil
+	c.queue = c.queue[:len(c.queue)-1]
+	c.cond.Broadcast()
+	switch {
+	case len(c.queue) > 0:
+		if c.queue[0].closing {
+			_ = c.end()
+		}
+	case c.closed:
+		_ = c.end()
+	case c.waiting && c.readTimeout > 0:
+		// The connection is idle from now on, not from the server's last response.
+		_ = c.Conn.SetReadDeadline(time.Now().Add(c.readTimeout))
+	}
+}
+
+// closeAfter closes the connection after the turn and drops the requests behind it, which
+// the client sends again.
+func (c *conn) closeAfter(t *turn) {
+	at := slices.Index(c.queue, t)
+	if at < 0 || t.closing || c.ended {
+		return
+	}
+	t.closing, c.closing = true, true
+	for _, behind := range c.queue[at+1:] {
+		behind.dropped = true
+		metricDropped.Add(1)
+	}
+	clear(c.queue[at+1:])
+	c.queue = c.queue[:at+1]
+	c.cond.Broadcast()
+	if c.readsEnded() {
+		_ = c.Conn.SetReadDeadline(time.Unix(1, 0)) // Ends a Read in progress.
+	}
+	if at == 0 {
+		_ = c.end()
+	}
+}
+
+// readsEnded reports whether the server reads nothing more: the connection closes, and not
+// only after the request that the server has read itself and still handles.
+func (c *conn) readsEnded() bool {
+	return c.closed || c.ended || c.closing && (!c.active || c.own.dropped || c.own.closing)
+}
+
+// end closes the connection. The responses that were written still reach the client.
+func (c *conn) end() error {
+	if c.ended {
+		return net.ErrClosed
+	}
+	c.ended = true
+	c.listener.release(c.heldBytes + c.partialBytes)
+	c.heldBytes, c.partialBytes = 0, 0
+	c.cond.Broadcast()
+	if !c.pipelined {
+		return c.Conn.Close()
+	}
+	c.listener.closeLater(c.linger)
+	return nil
+}
+
+// linger closes the connection once the client has, or after lingerTimeout.
+func (c *conn) linger() {
+	_ = c.Conn.SetDeadline(time.Now().Add(lingerTimeout))
+	if half, ok := c.Conn.(closeWriter); ok && half.CloseWrite() == nil {
+		_, _ = io.Copy(io.Discard, c.Conn)
+	}
+	_ = c.Conn.Close()
+}
+
+// Close implements net.Conn. Requests that were read ahead and have their turn before are
+// still answered, those behind a response that closes the connection are dropped.
+func (c *conn) Close() error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closed {
+		return net.ErrClosed
+	}
+	c.closed = true
+	switch {
+	case c.ended:
+	case c.active && !c.own.dropped:
+		c.closeAfter(&c.own)
+	case c.closing:
+	case len(c.queue) == 0:
+		return c.end()
+	default:
+		c.cond.Broadcast()
+		_ = c.Conn.SetReadDeadline(time.Unix(1, 0)) // Ends a Read in progress.
+	}
+	return nil
+}
+
+// CloseWrite tells the client that nothing follows, like that of a TCP connection.
+func (c *conn) CloseWrite() error { return c.own.closeWrite() }
+
+func (t *turn) closeWrite() error {
+	c := t.conn
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	half, ok := c.Conn.(closeWriter)
+	if !ok || t.failed() || !c.isTurn(t) {
+		return nil
+	}
+	return half.CloseWrite()
+}
+
+// Write implements net.Conn. It waits for the turn of the request that the server has read
+// itself.
+func (c *conn) Write(p []byte) (int, error) { return c.own.Write(p) }
+
+// SetWriteDeadline implements net.Conn.
+func (c *conn) SetWriteDeadline(t time.Time) error { return c.own.SetWriteDeadline(t) }
+
+// SetDeadline implements net.Conn.
+func (c *conn) SetDeadline(t time.Time) error {
+	return errors.Join(c.SetReadDeadline(t), c.SetWriteDeadline(t))
+}
+
+// SetReadDeadline implements net.Conn.
+func (c *conn) SetReadDeadline(t time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.readsEnded() {
+		return nil // Reads end at once; linger sets its own deadline.
+	}
+	c.readTimeout = 0
+	if !t.IsZero() {
+		c.readTimeout = time.Until(t)
+	}
+	return c.Conn.SetReadDeadline(t)
+}
+
+func isTimeout(err error) bool { return errors.Is(err, os.ErrDeadlineExceeded) }
