Run callers' pipelined requests at once

Callers that pipeline wait for each other's responses, and the entry counts a request's arrival from the end of that wait.

Requests that must not run twice (non-repeatable routes, routes known to begin non-repeatable nested calls, idempotency keys, tickets) wait until all earlier requests of the connection are answered, since the caller sends them again if one of these responses closes the connection. One whose deadline passes meanwhile is refused as not-run, before it is charged.

Ruled out: waiting in the route stage, which has no deadline yet.

--- a/internal/entry/stage.go
+++ b/internal/entry/stage.go
@@ -10,6 +10,7 @@
 	"curranthold.example/curranthold/internal/configuration"
 	"curranthold.example/curranthold/internal/kernel"
 	"curranthold.example/curranthold/internal/key"
+	"curranthold.example/curranthold/internal/pipeline"
 	"curranthold.example/curranthold/internal/retry"
 	"curranthold.example/curranthold/pkg/verdict"
 )
@@ -111,10 +112,27 @@
 		deadline := x.arrived.Add(timeout - min(answerMargin, timeout/10))
 		ctx, cancel := context.WithDeadline(ctx, deadline)
 		defer cancel()
+		if err := e.awaitTurn(ctx, x); err != nil {
+			return err
+		}
 		return next(ctx, x)
 	}
 }
 
+// awaitTurn makes a request that must not run twice wait until all earlier requests of the
+// caller's connection are answered. If one of these responses closes the connection, the
+// caller sends the request again.
+func (e *Entry) awaitTurn(ctx context.Context, x *activeCall) error {
+	if x.ticket == "" && x.request.IdempotencyKey == "" && e.mayRepeat(&x.request) {
+		return nil
+	}
+	if err := pipeline.AwaitTurn(ctx); err != nil {
+		return verdict.New(verdict.NotRun, verdict.DeadlineExceeded,
+			"the requests sent before on this connection are not answered yet")
+	}
+	return nil
+}
+
 // quotaStage charges the call to its client account.
 func quotaStage(e *Entry) kernel.Stage[*activeCall] {
 	return func(ctx context.Context, x *activeCall, next kernel.Handler[*activeCall]) error {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -20,6 +20,7 @@
 	"curranthold.example/curranthold/internal/membership"
 	"curranthold.example/curranthold/internal/owner"
 	"curranthold.example/curranthold/internal/peer"
+	"curranthold.example/curranthold/internal/pipeline"
 	"curranthold.example/curranthold/internal/platform"
 	"curranthold.example/curranthold/internal/quota"
 	"curranthold.example/curranthold/internal/settings"
@@ -79,7 +80,9 @@
 	memberSnapshot memberSnapshot
 	listeners      listeners
 	servers        []*http.Server
-	wg             conc.WaitGroup
+	// pipelined is the listener for callers' pipelined requests, nil if none are read ahead.
+	pipelined *pipeline.Listener
+	wg        conc.WaitGroup
 }
 
 // generationSource implements peer.GenerationTracker with a replica of the
@@ -245,12 +248,12 @@
 	if n.adapter.external() {
 		// Callers on this host know no other node, so the node serves them at once
 		// and refuses their calls until it has a configuration.
-		callers = n.serve(n.listeners.caller, n.refuseUntilConfigured(calls))
+		callers = n.serveCallers(n.refuseUntilConfigured(calls))
 	}
 	select {
 	case <-n.configuration.Ready():
 		if callers == nil {
-			callers = n.serve(n.listeners.caller, calls)
+			callers = n.serveCallers(calls)
 		}
 		n.accepting.Store(true)
 		eventReady.Log(event.Fields{
@@ -316,7 +319,20 @@
 // serve starts an HTTP server with limits on the size and the read time of request
 // headers.
 func (n *Node) serve(listener net.Listener, handler http.Handler) *http.Server {
-	server := &http.Server{
+	server := newServer(handler)
+	n.start(server, listener)
+	return server
+}
+
+// start runs an HTTP server until the shutdown.
+func (n *Node) start(server *http.Server, listener net.Listener) {
+	n.servers = append(n.servers, server)
+	n.wg.Go(func() { _ = server.Serve(listener) })
+}
+
+// newServer returns an HTTP server that serve starts.
+func newServer(handler http.Handler) *http.Server {
+	return &http.Server{
 		Handler:           handler,
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       idleTimeout,
@@ -324,7 +340,4 @@
 		// A caller must not get a success that no backend server gave.
 		DisableGeneralOptionsHandler: true,
 	}
-	n.servers = append(n.servers, server)
-	n.wg.Go(func() { _ = server.Serve(listener) })
-	return server
 }
--- a/internal/node/shutdown.go
+++ b/internal/node/shutdown.go
@@ -77,6 +77,9 @@
 			errs = append(errs, server.Close())
 		}
 	}
+	if n.pipelined != nil {
+		n.pipelined.Wait()
+	}
 	stop()
 	errs = append(errs, n.closeComponents())
 	n.wg.Wait()
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -126,6 +126,9 @@
 	// isn't cold start at its slots, if its service declares no cold rate. A node
 	// without an adapter ignores it.
 	WarmStart bool `json:"warm-start"`
+	// PipelinedRequests is the number of requests that are read ahead on one connection
+	// of a caller and run at once; 0 reads the next request when the last is answered.
+	PipelinedRequests int `json:"pipelined-requests"`
 	// DisabledMechanisms names mechanisms to switch off, to measure the effect of
 	// each. It is meant for tests only.
 	DisabledMechanisms []string `json:"disabled-mechanisms"`
@@ -262,7 +265,9 @@
 	maxTimeoutMs    = 600_000
 
 	maxCallsInFlight = 1_000_000
-	maxBytesInFlight = 4 << 30
+	// maxPipelinedRequests keeps the search for the next response of a connection short.
+	maxPipelinedRequests = 1000
+	maxBytesInFlight     = 4 << 30
 )
 
 // check reports the values that are not valid. All fields must have been decoded
@@ -311,6 +316,7 @@
 	checkRange(report, "limits.cold-overage-percent", s.Limits.ColdOveragePercent, 0, 1000)
 	checkRange(report, "limits.retry-percent", s.Limits.RetryPercent, 0, 100)
 	checkRange(report, "limits.announcement-ms", s.Limits.AnnouncementMs, 1, maxTimeoutMs)
+	checkRange(report, "limits.pipelined-requests", s.Limits.PipelinedRequests, 0, maxPipelinedRequests)
 	checkRange(report, "limits.memory-bytes", s.Limits.MemoryBytes, 0, math.MaxInt)
 }
 
