Call the server's own hooks with the clients' connections

A listener that limits connections follows them by the server's hooks, which package pipeline replaced. It would also take a connection for idle while requests that were read ahead still run, and might close it.

Configure keeps the hooks that the server has. They are called with the connections of the inner listener, which are active while any of their requests is not answered.

Ruled out: limiting the streams, since each would count as a connection.

Measured: TestHooks; internal/pipeline passes with -race, twice.

--- a/internal/pipeline/conn.go
+++ b/internal/pipeline/conn.go
@@ -85,6 +85,9 @@
 		// Close may have been called while the server read the request.
 		c.own.dropped = c.closing || c.closed || c.ended
 		if !c.own.dropped {
+			if len(c.queue) == 0 {
+				c.listener.tellState(c.Conn, state)
+			}
 			c.queue = append(c.queue, &c.own)
 		}
 	case http.StateIdle:
@@ -93,6 +96,9 @@
 		c.own = turn{conn: c}
 	case http.StateHijacked:
 		c.frame.lose()
+		c.listener.tellState(c.Conn, state)
+	case http.StateNew:
+		c.listener.tellState(c.Conn, state)
 	}
 }
 
@@ -105,6 +111,9 @@
 	c.queue[len(c.queue)-1] = nil
 	c.queue = c.queue[:len(c.queue)-1]
 	c.cond.Broadcast()
+	if len(c.queue) == 0 {
+		c.listener.tellState(c.Conn, http.StateIdle)
+	}
 	switch {
 	case len(c.queue) > 0:
 		if c.queue[0].closing {
@@ -156,6 +165,7 @@
 	c.listener.release(c.heldBytes + c.partialBytes)
 	c.heldBytes, c.partialBytes = 0, 0
 	c.cond.Broadcast()
+	c.listener.tellState(c.Conn, http.StateClosed)
 	if !c.pipelined {
 		return c.Conn.Close()
 	}
--- a/internal/pipeline/listener.go
+++ b/internal/pipeline/listener.go
@@ -46,9 +46,11 @@
 	config Config
 	// reserved is the part of TotalBytes that is in use.
 	reserved atomic.Int64
-	accepted chan acceptResult
-	streams  chan *stream
-	done     chan struct{}
+	// nextState is the hook that the server had before Configure.
+	nextState func(net.Conn, http.ConnState)
+	accepted  chan acceptResult
+	streams   chan *stream
+	done      chan struct{}
 	// accepting waits for the goroutine that accepts connections.
 	accepting conc.WaitGroup
 
@@ -75,10 +77,23 @@
 	return l
 }
 
-// Configure sets the hooks of the server that serves this listener.
+// Configure sets the hooks of the server that serves this listener. Hooks that the server has
+// are called with the connections of the inner listener. For them, a connection is active while
+// any of its requests is not answered.
 func (l *Listener) Configure(server *http.Server) {
+	l.nextState = server.ConnState
+	next := server.ConnContext
 	server.ConnState = l.connState
-	server.ConnContext = connContext
+	server.ConnContext = func(ctx context.Context, nc net.Conn) context.Context {
+		return connContext(ctx, nc, next)
+	}
+}
+
+// tellState calls the server's own hook for a connection of the inner listener.
+func (l *Listener) tellState(inner net.Conn, state http.ConnState) {
+	if l.nextState != nil {
+		l.nextState(inner, state)
+	}
 }
 
 // Accept implements net.Listener.
@@ -232,14 +247,18 @@
 type turnKey struct{}
 
 // connContext makes the turn of a connection's requests known to AwaitTurn.
-func connContext(ctx context.Context, nc net.Conn) context.Context {
+func connContext(ctx context.Context, nc net.Conn, next func(context.Context, net.Conn) context.Context) context.Context {
+	var t *turn
 	switch c := nc.(type) {
 	case *conn:
-		return context.WithValue(ctx, turnKey{}, &c.own)
+		t = &c.own
 	case *stream:
-		return context.WithValue(ctx, turnKey{}, &c.turn)
+		t = &c.turn
+	}
+	if next != nil {
+		ctx = next(ctx, t.conn.Conn)
 	}
-	return ctx
+	return context.WithValue(ctx, turnKey{}, t)
 }
 
 // AwaitTurn waits until all requests that the client sent earlier on the same connection are
--- a/internal/pipeline/pipeline_test.go
+++ b/internal/pipeline/pipeline_test.go
@@ -407,7 +407,7 @@
 	qt.Check(t, AwaitTurn(context.Background()), qt.IsNil)
 	c := newConn(NewListener(nil, defaults()), nil)
 	c.queue = append(c.queue, &turn{conn: c})
-	ctx, cancel := context.WithTimeout(connContext(context.Background(), c), 10*time.Millisecond)
+	ctx, cancel := context.WithTimeout(connContext(context.Background(), c, nil), 10*time.Millisecond)
 	defer cancel()
 	qt.Check(t, AwaitTurn(ctx), qt.ErrorIs, context.DeadlineExceeded)
 }
@@ -561,6 +561,51 @@
 	wg.Wait()
 }
 
+// TestHooks checks that hooks which the server had before see the inner connections, active
+// while any of their requests is not answered.
+func TestHooks(t *testing.T) {
+	inner, err := net.Listen("tcp", "127.0.0.1:0")
+	qt.Assert(t, err, qt.IsNil)
+	var mu sync.Mutex
+	var states []string
+	release := make(chan struct{})
+	server := &http.Server{
+		Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) { <-release }),
+		ConnState: func(nc net.Conn, state http.ConnState) {
+			mu.Lock()
+			defer mu.Unlock()
+			states = append(states, fmt.Sprintf("%T %v", nc, state))
+		},
+		ConnContext: func(ctx context.Context, nc net.Conn) context.Context {
+			_, ok := nc.(*net.TCPConn)
+			qt.Check(t, ok, qt.IsTrue)
+			return ctx
+		},
+	}
+	listener := NewListener(inner, defaults())
+	listener.Configure(server)
+	s := &testServer{address: inner.Addr().String()}
+	s.served.Go(func() { _ = server.Serve(listener) })
+	c := s.dial(t)
+	ahead := metricAhead.Value()
+	c.send(get("/1"), get("/2"), get("/3"))
+	s.eventually(t, "two are read ahead", func() bool { return metricAhead.Value() == ahead+2 })
+	close(release)
+	c.expect("", "", "")
+	_ = c.Close()
+	s.eventually(t, "the connection is closed", func() bool {
+		mu.Lock()
+		defer mu.Unlock()
+		return len(states) == 4
+	})
+	qt.Check(t, states, qt.DeepEquals, []string{
+		"*net.TCPConn new", "*net.TCPConn active", "*net.TCPConn idle", "*net.TCPConn closed",
+	})
+	_ = server.Close()
+	s.served.Wait()
+	listener.Wait()
+}
+
 // TestCloseAtStart guards against a data race between the first Accept and Close.
 func TestCloseAtStart(t *testing.T) {
 	for range 200 {
