Spread calls by estimated headroom where even load is asked for

Cause: the load that an entry knows of a host is up to a second old, hosts differ in speed, and the own zone is left only when the two drawn hosts are full.

Ruled out: probes (more messages to servers); the best of the known loads (all entries choose the same host); own requests times the number of entries (multiplies noise).

Change: for services without a cold rate, with the setting even-load, a host is drawn with a probability proportional to limit, speed and estimated headroom. The load hint gets the mean slot time at the end of the packed answer.

--- a/internal/admission/controller.go
+++ b/internal/admission/controller.go
@@ -15,6 +15,10 @@
 // the moving average of the weights.
 const meanWeightSmoothing = 64
 
+// slotTimeSmoothing is the reciprocal of the weight that a new request has in the moving
+// average of the slot time.
+const slotTimeSmoothing = 32
+
 // Controller admits requests to one backend server. Its methods may be called
 // concurrently.
 type Controller struct {
@@ -37,6 +41,7 @@
 	running      [object.UrgencyCount]int
 	inFlight     int
 	meanWeight   float64
+	meanSlotTime time.Duration
 	// incarnation is that of the last announcement; announced is set once there
 	// was one.
 	incarnation      string
@@ -73,6 +78,7 @@
 	if restart {
 		c.failureRate = failureRate{}
 		c.namedRate = namedRate{}
+		c.meanSlotTime = 0
 	}
 	c.announced = true
 	c.incarnation = a.Incarnation
@@ -306,6 +312,7 @@
 	silent := c.limiter.observe(ended, now)
 	if outcome == Succeeded {
 		c.serviceTimes[p.urgency].observe(now.Sub(p.start), now)
+		c.observeSlotTime(ended.took)
 	}
 	c.dispatch(now)
 	c.updateGauges()
@@ -313,6 +320,14 @@
 	return silent
 }
 
+func (c *Controller) observeSlotTime(took time.Duration) {
+	if c.meanSlotTime == 0 {
+		c.meanSlotTime = max(took, 1)
+		return
+	}
+	c.meanSlotTime = max(c.meanSlotTime+(took-c.meanSlotTime)/slotTimeSmoothing, 1)
+}
+
 func (c *Controller) updateGauges() {
 	inFlightGauge.Set(int64(c.inFlight))
 	queuedGauge.Set(int64(c.queue.length))
--- a/internal/admission/load.go
+++ b/internal/admission/load.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"time"
 
 	"curranthold.example/curranthold/pkg/object"
 )
@@ -28,6 +29,9 @@
 	// FailingPercent is the percentage of recent requests that the backend
 	// server itself refused, failed or broke off.
 	FailingPercent int `json:"failing-percent"`
+	// MeanSlotTime is the moving average of the time for which a request runs, less the
+	// time in which it waits for nested calls; 0 if unknown.
+	MeanSlotTime time.Duration `json:"mean-slot-time,omitempty"`
 }
 
 // shedNone represents a ShedFrom of object.UrgencyCount in JSON.
--- a/internal/admission/state.go
+++ b/internal/admission/state.go
@@ -29,6 +29,7 @@
 		Leaving:  c.leaving,
 
 		FailingPercent: int(100 * c.failureRate.value(c.now())),
+		MeanSlotTime:   c.meanSlotTime,
 	}
 }
 
--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -3,8 +3,9 @@
 // A [Balancer] draws two hosts of the service from its own availability zone, with
 // probabilities proportional to their slots, and takes the less loaded one. It turns to
 // another zone if neither of the two accepts the call, or if the less loaded one is
-// saturated. A call whose urgency is refused by all candidates is refused here, before
-// any work is spent on it.
+// saturated. For services set by SetSpread, it draws one host with a probability that grows
+// with its estimated headroom instead. A call whose urgency is refused by all candidates is
+// refused here, before any work is spent on it.
 package balance
 
 import (
@@ -25,6 +26,8 @@
 	metrics             = metric.NewGroup("balance")
 	chosenOwnZone       = metrics.Int("chosen-own-zone-requests")
 	chosenOtherZone     = metrics.Int("chosen-other-zone-requests")
+	spreadCalls         = metrics.Int("spread-requests")
+	spilledCalls        = metrics.Int("spilled-requests")
 	refusedEarly        = metrics.Int("refused-early-requests")
 	refusedNoHost       = metrics.Int("refused-no-host-requests")
 	refusedOutOfService = metrics.Int("refused-zone-out-of-service-requests")
@@ -85,6 +88,9 @@
 	config   Config
 	snapshot atomic.Pointer[snapshot]
 
+	// spread holds the services whose calls are spread.
+	spread atomic.Pointer[map[string]bool]
+
 	mu    sync.Mutex
 	zones map[string]*zone
 }
@@ -99,9 +105,14 @@
 	}
 	b := &Balancer{config: config, zones: map[string]*zone{}}
 	b.snapshot.Store(&snapshot{})
+	b.SetSpread(nil)
 	return b
 }
 
+// SetSpread sets the services whose calls are spread over all hosts by their estimated
+// headroom. For others, the less loaded of two hosts is chosen.
+func (b *Balancer) SetSpread(services map[string]bool) { b.spread.Store(&services) }
+
 // SetHosts replaces the hosts of all services. The state of a host whose ID was
 // already listed is kept.
 func (b *Balancer) SetHosts(byService map[string][]Host) {
@@ -118,12 +129,12 @@
 }
 
 func (b *Balancer) newService(hosts []Host, states map[string]*state) *service {
+	s := new(service)
 	byZone := map[string][]member{}
 	for _, host := range hosts {
 		m := member{host: host, state: b.reuseState(host.ID, states)}
 		byZone[host.Zone] = append(byZone[host.Zone], m)
 	}
-	s := new(service)
 	for _, name := range slices.Sorted(maps.Keys(byZone)) {
 		g := newGroup(b.zone(name), byZone[name])
 		if name == b.config.Zone {
@@ -185,11 +196,10 @@
 		return Host{}, noHostError(&r)
 	}
 	s := search{request: &r, now: b.config.Now().UnixNano(), ignoreShedding: b.config.DisableEarlyRefusal}
-	if b.tryOwnZone(service, s.now) {
-		s.considerTwo(service.own, b.config.Random)
-	}
-	if s.saturated() && len(service.others) > 0 {
-		b.searchOtherZone(service, &s)
+	if (*b.spread.Load())[r.Service] {
+		b.searchSpread(service, &s)
+	} else {
+		b.searchTwo(service, &s)
 	}
 	if s.best.member == nil {
 		b.searchAllZones(service, &s)
@@ -208,6 +218,17 @@
 	return s.best.member.host, nil
 }
 
+// searchTwo considers two hosts of the own zone and, if the less loaded one is saturated,
+// two of another zone.
+func (b *Balancer) searchTwo(service *service, s *search) {
+	if b.tryOwnZone(service, s.now) {
+		s.considerTwo(service.own, b.config.Random)
+	}
+	if s.saturated() && len(service.others) > 0 {
+		b.searchOtherZone(service, s)
+	}
+}
+
 // tryOwnZone reports whether to try the own zone first. While its traffic rises after a
 // return to service, it is tried first only for the fraction of the calls given by
 // zone.weight.
--- a/internal/balance/host.go
+++ b/internal/balance/host.go
@@ -67,6 +67,9 @@
 	// failing is the percentage of requests that the backend server failed,
 	// according to the last hint.
 	failing atomic.Int32
+	// slotTime is the mean time for which a request holds a slot, according to the last
+	// hint that states it, in nanoseconds; 0 if unknown.
+	slotTime atomic.Int64
 	// inFlightAtHint is the value of inFlight when the last hint arrived.
 	inFlightAtHint atomic.Int32
 	// hintAt is when the last hint arrived. All times are in Unix nanoseconds.
@@ -95,6 +98,9 @@
 	s.shedFrom.Store(int32(l.ShedFrom))
 	s.leaving.Store(l.Leaving)
 	s.failing.Store(int32(l.FailingPercent))
+	if l.MeanSlotTime > 0 {
+		s.slotTime.Store(int64(l.MeanSlotTime))
+	}
 	s.inFlightAtHint.Store(s.inFlight.Load())
 	s.hintAt.Store(now)
 	if s.failures.Load() != 0 {
--- a/internal/call/packed.go
+++ b/internal/call/packed.go
@@ -83,6 +83,7 @@
 	p.load(a.Load)
 	p.int(int64(a.ExtraAttempts))
 	p.bools(a.Offered, a.NonRepeatable, a.RefusedBeneath)
+	p.int(int64(a.Load.MeanSlotTime))
 	return Packed{p.data}
 }
 
@@ -102,6 +103,9 @@
 	a.Load = u.load()
 	a.ExtraAttempts = int(u.int())
 	u.bools(&a.Offered, &a.NonRepeatable, &a.RefusedBeneath)
+	if u.more() {
+		a.Load.MeanSlotTime = time.Duration(u.int())
+	}
 	return a, u.err
 }
 
@@ -204,6 +208,9 @@
 	u.data = nil
 }
 
+// more reports whether fields follow. Nodes of earlier builds don't send the later ones.
+func (u *unpacker) more() bool { return len(u.data) > 0 }
+
 func (u *unpacker) uint() uint64 {
 	v, n := binary.Uvarint(u.data)
 	if n <= 0 {
--- a/internal/call/packed_test.go
+++ b/internal/call/packed_test.go
@@ -84,11 +84,27 @@
 		qt.Check(t, err, qt.ErrorIs, ErrMalformed)
 	}
 	for n := range answer.Data {
+		if n == len(answer.Data)-addedAnswerBytes {
+			continue // TestPackedByEarlierBuild decodes this one.
+		}
 		_, err := Packed{answer.Data[:n]}.Answer()
 		qt.Check(t, err, qt.ErrorIs, ErrMalformed)
 	}
 }
 
+// addedAnswerBytes is the size of the fields of sampleAnswer that the first build with
+// packed messages doesn't have.
+const addedAnswerBytes = 1
+
+// TestPackedByEarlierBuild decodes an answer without the fields that later builds added.
+// During an upgrade, nodes of both builds answer each other.
+func TestPackedByEarlierBuild(t *testing.T) {
+	data := sampleAnswer().Pack().Data
+	answer, err := Packed{data[:len(data)-addedAnswerBytes]}.Answer()
+	qt.Assert(t, err, qt.IsNil)
+	qt.Check(t, answer, qt.DeepEquals, sampleAnswer())
+}
+
 // TestPackedExtended appends fields of a later version, which are ignored.
 func TestPackedExtended(t *testing.T) {
 	request, err := Packed{append(sampleRequest().Pack().Data, 1, 2, 3)}.Request()
--- a/internal/node/subscribe.go
+++ b/internal/node/subscribe.go
@@ -101,6 +101,7 @@
 		inService[name] = spec.InService
 	}
 	n.balancer.SetZones(inService)
+	n.balancer.SetSpread(n.spreadServices(s))
 	own, declared := s.Zone(n.settings.AvailabilityZone)
 	n.admission.SetZoneInService(!declared || own.InService)
 	n.owner.CancelWithdrawn()
@@ -109,6 +110,20 @@
 	}
 }
 
+// spreadServices returns the services whose calls are spread over all hosts. A server with
+// a cold rate is limited by that rate while it is cold, which the estimate of its headroom
+// does not cover.
+func (n *Node) spreadServices(s *configuration.Snapshot) map[string]bool {
+	if !n.settings.Limits.EvenLoad {
+		return nil
+	}
+	spread := make(map[string]bool)
+	for name, spec := range s.Services() {
+		spread[name] = spec.ColdRate == 0
+	}
+	return spread
+}
+
 // applyStoreEra renews this host's row in the directory if the platform's store has come
 // back from an older copy, which may lack the row.
 func (n *Node) applyStoreEra(era uint64) {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -102,6 +102,9 @@
 	// applies it only when its settings are reloaded, and takes 0 for a burst of 10
 	// of its own.
 	RetrySlack int `json:"retry-slack"`
+	// EvenLoad spreads the calls of each service that declares no cold rate over all its
+	// hosts by their estimated headroom, in place of the less loaded of two hosts.
+	EvenLoad bool `json:"even-load"`
 	// QuotaOveragePercent is the percentage by which the users' platform tolerates
 	// that a client account exceeds its rate and burst. A node with an adapter raises
 	// the rates by half of it; the rest covers inexact estimates.
