Exchange calls between nodes without gob, and keep no buffers per connection

Cause: each connection kept a gob encoder and decoder with the types of every message, and two buffers of the size of the largest frame that it had carried. A packed call was still wrapped in gob, with net/rpc's header.

Nodes that know the compact format mark their nonces of the handshake, which earlier builds take as random. If both nonces have the mark, headers are varints and texts, packed calls are sent as they are, and other messages use a gob stream that is created when it is first needed. With nodes of earlier builds the connection uses gob as before (TestBuilds covers both directions). Buffers of frames are pooled and held only while a frame is sent or read. A new version of the protocol in the handshake was ruled out: earlier builds refuse it.

--- a/internal/call/packed.go
+++ b/internal/call/packed.go
@@ -19,6 +19,12 @@
 // fields, which this one ignores.
 type Packed struct{ Data []byte }
 
+// RawBytes implements peer.Raw.
+func (p *Packed) RawBytes() []byte { return p.Data }
+
+// SetRawBytes implements peer.Raw.
+func (p *Packed) SetRawBytes(data []byte) { p.Data = data }
+
 // packedVersion is the version of the encoding. It changes only if old nodes can no
 // longer read it.
 const packedVersion = 1
--- a/internal/peer/codec.go
+++ b/internal/peer/codec.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"bytes"
 	"encoding/gob"
 	"errors"
 	"net"
@@ -13,46 +12,75 @@
 	"curranthold.example/curranthold/internal/event"
 )
 
-// gobConn is a connection between two nodes with its gob streams. Each net/rpc
-// message, header and body, is sent as one frame.
-type gobConn struct {
+// messageConn is a connection between two nodes. Each net/rpc message, header and body,
+// is sent as one frame. The content of the frame is in the gob format, or in the compact
+// one if both nodes know that (see compact.go).
+type messageConn struct {
 	conn        net.Conn
 	reader      *bufio.Reader
 	generations GenerationTracker
 	remote      string
+	compact     bool
 
-	out bytes.Buffer
-	enc *gob.Encoder
-	in  bytes.Buffer
-	dec *gob.Decoder
+	// out is the frame that is being written, and in the one that is being read. Their
+	// memory is in use only for that long.
+	out     buffer
+	in      buffer
+	enc     *gob.Encoder
+	dec     *gob.Decoder
+	methods lastText
 }
 
-func newGobConn(conn net.Conn, reader *bufio.Reader, generations GenerationTracker, remote string) *gobConn {
-	g := &gobConn{conn: conn, reader: reader, generations: generations, remote: remote}
-	g.enc = gob.NewEncoder(&g.out)
-	g.dec = gob.NewDecoder(&g.in)
-	return g
+func newMessageConn(conn net.Conn, reader *bufio.Reader, generations GenerationTracker, session session) *messageConn {
+	return &messageConn{conn: conn, reader: reader, generations: generations, remote: session.remote, compact: session.compact}
 }
 
-// encode encodes header and body into the frame that write sends.
-func (g *gobConn) encode(header, body any) error {
-	beginFrame(&g.out)
-	if err := g.enc.Encode(header); err != nil {
-		return err
+// encodeGob appends a value to the frame in the gob format. The receiver must decode all
+// values of a connection, in order.
+func (g *messageConn) encodeGob(value any) error {
+	if g.enc == nil {
+		g.enc = gob.NewEncoder(&g.out)
 	}
-	return g.enc.Encode(body)
+	return g.enc.Encode(value)
 }
 
-// write sends the frame. The bytes are counted for the service of the net/rpc method.
-func (g *gobConn) write(method string) error {
-	n, err := writeFrame(g.conn, g.generations.Current(), &g.out)
+func (g *messageConn) decodeGob(value any) error {
+	if g.dec == nil {
+		g.dec = gob.NewDecoder(&g.in)
+	}
+	return g.dec.Decode(value)
+}
+
+// send sends header and body as one frame. It calls encoded once the body is not read any
+// more. The bytes are counted for the service of the net/rpc method.
+func (g *messageConn) send(method string, header, body any, encoded func()) error {
+	g.out.take()
+	defer g.out.release()
+	beginFrame(g.out.Buffer)
+	err := g.encode(header, body)
+	encoded()
+	if err != nil {
+		return err
+	}
+	n, err := writeFrame(g.conn, g.generations.Current(), g.out.Buffer)
 	countSent(method, n)
 	return err
 }
 
-// receiveHeader reads the next frame and decodes its header.
-func (g *gobConn) receiveHeader(header any) error {
-	generation, err := readFrame(g.reader, &g.in)
+func (g *messageConn) encode(header, body any) error {
+	if g.compact {
+		return g.encodeCompact(header, body)
+	}
+	if err := g.encodeGob(header); err != nil {
+		return err
+	}
+	return g.encodeGob(body)
+}
+
+// receiveHeader reads the next frame and decodes its header. The body must be received
+// before the next header.
+func (g *messageConn) receiveHeader(header any) error {
+	generation, err := g.receiveFrame()
 	if errors.Is(err, errFrameTooLong) || errors.Is(err, errChecksumMismatch) {
 		eventBroken.Log(event.Fields{"remote": g.remote, "error": err.Error()})
 	}
@@ -60,13 +88,29 @@
 		return err
 	}
 	g.generations.Observe(generation, g.remote)
-	return g.dec.Decode(header)
+	if g.compact {
+		return g.decodeCompactHeader(header)
+	}
+	return g.decodeGob(header)
+}
+
+func (g *messageConn) receiveFrame() (generation uint64, err error) {
+	// The memory is taken only when a frame has begun to arrive.
+	if _, err := g.reader.Peek(1); err != nil {
+		return 0, err
+	}
+	g.in.take()
+	return readFrame(g.reader, g.in.Buffer)
 }
 
 // receiveBody decodes the body of the frame that receiveHeader read. If body is
 // nil, it discards the body.
-func (g *gobConn) receiveBody(body any) error {
-	return g.dec.Decode(body)
+func (g *messageConn) receiveBody(body any) error {
+	defer g.in.release()
+	if g.compact {
+		return g.decodeCompactBody(body)
+	}
+	return g.decodeGob(body)
 }
 
 // requestState says how far a request has got.
@@ -128,7 +172,7 @@
 
 // clientCodec implements rpc.ClientCodec.
 type clientCodec struct {
-	*gobConn
+	*messageConn
 	// sendErr is the first error of a request. The other side may have missed a part
 	// of the gob stream then, so no further request is sent.
 	sendErr error
@@ -142,11 +186,7 @@
 	if !request.start() {
 		return errAbandoned
 	}
-	c.sendErr = c.encode(r, request.args)
-	close(request.encoded)
-	if c.sendErr == nil {
-		c.sendErr = c.write(r.ServiceMethod)
-	}
+	c.sendErr = c.send(r.ServiceMethod, r, request.args, func() { close(request.encoded) })
 	return c.sendErr
 }
 
@@ -166,16 +206,13 @@
 func (c *clientCodec) Close() error { return c.conn.Close() }
 
 // serverCodec implements rpc.ServerCodec.
-type serverCodec struct{ *gobConn }
+type serverCodec struct{ *messageConn }
 
 func (c serverCodec) ReadRequestHeader(r *rpc.Request) error { return c.receiveHeader(r) }
 func (c serverCodec) ReadRequestBody(body any) error         { return c.receiveBody(body) }
 
 func (c serverCodec) WriteResponse(r *rpc.Response, body any) error {
-	err := c.encode(r, body)
-	if err == nil {
-		err = c.write(r.ServiceMethod)
-	}
+	err := c.send(r.ServiceMethod, r, body, func() {})
 	if err != nil {
 		// The decoder at the other side may have missed part of the gob stream,
 		// so the connection can't be used any more.
--- a/internal/peer/handshake.go
+++ b/internal/peer/handshake.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"crypto/hmac"
 	"crypto/rand"
 	"crypto/sha256"
@@ -20,6 +21,40 @@
 	maxAddressBytes = 255
 )
 
+// compactMark ends the nonces of nodes that know the compact format. Nodes of earlier
+// builds take it for a part of the nonce, and their own nonces end like it by chance once
+// in 2^64 connections. The 24 bytes before it are random, which keeps nonces unique. The
+// proofs cover the nonces, so nobody between the nodes can change the mark.
+var compactMark = [...]byte{0xc7, 'c', 'o', 'm', 'p', 'a', 'c', 't'}
+
+// session is what the handshake of a connection has established.
+type session struct {
+	// remote is the address at which the other node listens.
+	remote string
+	// compact is set if both nodes know the compact format.
+	compact bool
+}
+
+// newNonce returns a nonce, with compactMark if compact is set.
+func newNonce(compact bool) []byte {
+	nonce := make([]byte, nonceBytes)
+	_, _ = rand.Read(nonce)
+	if compact {
+		copy(nonce[nonceBytes-len(compactMark):], compactMark[:])
+	}
+	return nonce
+}
+
+// isCompact reports whether all of the nonces have compactMark.
+func isCompact(nonces ...[]byte) bool {
+	for _, nonce := range nonces {
+		if !bytes.HasSuffix(nonce, compactMark[:]) {
+			return false
+		}
+	}
+	return true
+}
+
 // protocolName is the first thing that a client sends, so that a client of another
 // protocol is rejected at once. Its last byte is the protocol's version.
 var protocolName = [...]byte{'c', 'r', 'n', 't', 'h', 'l', 'd', 1}
@@ -45,61 +80,59 @@
 )
 
 // clientHandshake checks the server's proof that it knows the fleet's secret, then
-// sends this node's own proof and the address at which this node listens.
-func clientHandshake(conn net.Conn, r *bufio.Reader, secret []byte, address string) error {
+// sends this node's own proof and the address at which this node listens. It reports
+// whether the connection is compact, which it is only if compact is set.
+func clientHandshake(conn net.Conn, r *bufio.Reader, secret []byte, address string, compact bool) (bool, error) {
 	if len(address) > maxAddressBytes {
-		return fmt.Errorf("%w: address of %d bytes", errHandshake, len(address))
+		return false, fmt.Errorf("%w: address of %d bytes", errHandshake, len(address))
 	}
 	_ = conn.SetDeadline(time.Now().Add(handshakeTimeout))
-	clientNonce := make([]byte, nonceBytes)
-	_, _ = rand.Read(clientNonce)
+	clientNonce := newNonce(compact)
 	if _, err := conn.Write(append(protocolName[:], clientNonce...)); err != nil {
-		return err
+		return false, err
 	}
 	response := make([]byte, nonceBytes+sha256.Size)
 	if _, err := io.ReadFull(r, response); err != nil {
-		return err
+		return false, err
 	}
 	serverNonce := response[:nonceBytes]
 	if !hmac.Equal(response[nonceBytes:], proof(secret, roleServer, serverNonce, clientNonce, "")) {
-		return fmt.Errorf("%w: the other node does not know the fleet's secret", errHandshake)
+		return false, fmt.Errorf("%w: the other node does not know the fleet's secret", errHandshake)
 	}
 	message := append([]byte{byte(len(address))}, address...)
 	message = append(message, proof(secret, roleClient, clientNonce, serverNonce, address)...)
 	if _, err := conn.Write(message); err != nil {
-		return err
+		return false, err
 	}
-	return conn.SetDeadline(time.Time{})
+	return isCompact(clientNonce, serverNonce), conn.SetDeadline(time.Time{})
 }
 
-// serverHandshake is the server's side of clientHandshake. It returns the address
-// at which the client's node listens.
-func serverHandshake(conn net.Conn, r *bufio.Reader, secret []byte) (string, error) {
+// serverHandshake is the server's side of clientHandshake.
+func serverHandshake(conn net.Conn, r *bufio.Reader, secret []byte, compact bool) (session, error) {
 	_ = conn.SetDeadline(time.Now().Add(handshakeTimeout))
 	opening := make([]byte, len(protocolName)+nonceBytes)
 	if _, err := io.ReadFull(r, opening); err != nil {
-		return "", err
+		return session{}, err
 	}
 	if [len(protocolName)]byte(opening) != protocolName {
-		return "", fmt.Errorf("%w: unknown protocol or version", errHandshake)
+		return session{}, fmt.Errorf("%w: unknown protocol or version", errHandshake)
 	}
 	clientNonce := opening[len(protocolName):]
-	serverNonce := make([]byte, nonceBytes)
-	_, _ = rand.Read(serverNonce)
+	serverNonce := newNonce(compact)
 	if _, err := conn.Write(append(serverNonce, proof(secret, roleServer, serverNonce, clientNonce, "")...)); err != nil {
-		return "", err
+		return session{}, err
 	}
 	length, err := r.ReadByte()
 	if err != nil {
-		return "", err
+		return session{}, err
 	}
 	message := make([]byte, int(length)+sha256.Size)
 	if _, err := io.ReadFull(r, message); err != nil {
-		return "", err
+		return session{}, err
 	}
 	address := string(message[:length])
 	if !hmac.Equal(message[length:], proof(secret, roleClient, clientNonce, serverNonce, address)) {
-		return "", fmt.Errorf("%w: the other node does not know the fleet's secret", errHandshake)
+		return session{}, fmt.Errorf("%w: the other node does not know the fleet's secret", errHandshake)
 	}
-	return address, conn.SetDeadline(time.Time{})
+	return session{remote: address, compact: isCompact(clientNonce, serverNonce)}, conn.SetDeadline(time.Time{})
 }
--- a/internal/peer/pool.go
+++ b/internal/peer/pool.go
@@ -31,6 +31,8 @@
 	secret      []byte
 	address     string
 	generations GenerationTracker
+	// compact is unset only in tests, where the pool then is one of an earlier build.
+	compact bool
 
 	mu     sync.Mutex
 	closed bool
@@ -64,6 +66,7 @@
 		secret:      secret,
 		address:     address,
 		generations: generations,
+		compact:     true,
 		conns:       make(map[string]*pooledConn),
 		retired:     make(map[*pooledConn]struct{}),
 		done:        make(chan struct{}),
@@ -211,12 +214,14 @@
 		return nil, nil, err
 	}
 	reader := bufio.NewReader(conn)
-	if err := clientHandshake(conn, reader, p.secret, p.address); err != nil {
+	compact, err := clientHandshake(conn, reader, p.secret, p.address, p.compact)
+	if err != nil {
 		_ = conn.Close()
 		return nil, nil, err
 	}
 	connectionsOpened.Add(1)
-	client := rpc.NewClientWithCodec(&clientCodec{gobConn: newGobConn(conn, reader, p.generations, address)})
+	session := session{remote: address, compact: compact}
+	client := rpc.NewClientWithCodec(&clientCodec{messageConn: newMessageConn(conn, reader, p.generations, session)})
 	return conn.(stallingConn), client, nil
 }
 
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -32,7 +32,9 @@
 type Server struct {
 	secret      []byte
 	generations GenerationTracker
-	rpc         *rpc.Server
+	// compact is unset only in tests, where the server then is one of an earlier build.
+	compact bool
+	rpc     *rpc.Server
 
 	mu       sync.Mutex
 	closed   bool
@@ -47,6 +49,7 @@
 	return &Server{
 		secret:      secret,
 		generations: generations,
+		compact:     true,
 		rpc:         rpc.NewServer(),
 		conns:       make(map[net.Conn]struct{}),
 	}
@@ -83,13 +86,13 @@
 func (s *Server) serve(conn net.Conn) {
 	defer s.untrack(conn)
 	reader := bufio.NewReader(conn)
-	remote, err := serverHandshake(conn, reader, s.secret)
+	session, err := serverHandshake(conn, reader, s.secret, s.compact)
 	if err != nil {
 		connectionsRefused.Add(1)
 		eventRefused.Log(event.Fields{"remote": conn.RemoteAddr().String(), "error": err.Error()})
 		return
 	}
-	s.rpc.ServeCodec(serverCodec{newGobConn(conn, reader, s.generations, remote)})
+	s.rpc.ServeCodec(serverCodec{newMessageConn(conn, reader, s.generations, session)})
 }
 
 // track records an open connection, so that Close closes it. If the server is
--- a/internal/peer/slope_test.go
+++ b/internal/peer/slope_test.go
@@ -25,6 +25,26 @@
 	return nil
 }
 
+// Exchange is Call with packed messages.
+func (o Owner) Exchange(args, reply *call.Packed) error {
+	request, err := args.Request()
+	if err != nil {
+		return err
+	}
+	var answer call.Answer
+	_ = o.Call(request, &answer)
+	*reply = answer.Pack()
+	return nil
+}
+
+// exchange sends a packed request, as entries do, and decodes the answer.
+func exchange(b *testing.B, pool *peer.Pool, address string, request *call.Request) {
+	packed, reply := request.Pack(), call.Packed{}
+	qt.Assert(b, pool.Call(b.Context(), address, "Owner.Exchange", &packed, &reply), qt.IsNil)
+	_, err := reply.Answer()
+	qt.Assert(b, err, qt.IsNil)
+}
+
 func serveOwner(b *testing.B) string {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	qt.Assert(b, err, qt.IsNil)
@@ -71,7 +91,24 @@
 	}
 }
 
-// BenchmarkSlopeConnections opens connections to one node and sends one call over
+// BenchmarkCallPacked is BenchmarkCall with packed messages, which entries use.
+func BenchmarkCallPacked(b *testing.B) {
+	for _, body := range []int{0, 1 << 10, 16 << 10} {
+		b.Run(fmt.Sprintf("body=%d", body), func(b *testing.B) {
+			address := serveOwner(b)
+			pool := peer.NewPool(secret, "127.0.0.1:7", new(recordedGenerations))
+			b.Cleanup(func() { _ = pool.Close() })
+			request := newRequest(body)
+			exchange(b, pool, address, request)
+			b.ReportAllocs()
+			for b.Loop() {
+				exchange(b, pool, address, request)
+			}
+		})
+	}
+}
+
+// BenchmarkSlopeConnections opens connections to one node and sends one packed call over
 // each. It reports the heap and stack memory that both ends of a connection take.
 func BenchmarkSlopeConnections(b *testing.B) {
 	for _, n := range []int{16, 100, 400} {
@@ -90,8 +127,7 @@
 	pools := make([]*peer.Pool, n)
 	for i := range pools {
 		pools[i] = peer.NewPool(secret, "127.0.0.1:7", new(recordedGenerations))
-		err := pools[i].Call(b.Context(), address, "Owner.Call", newRequest(0), new(call.Answer))
-		qt.Assert(b, err, qt.IsNil)
+		exchange(b, pools[i], address, newRequest(0))
 	}
 	used := memoryInUse() - before
 	for _, pool := range pools {
