Add the object kind rollout

Operators have no way to order that a service move to another version of its backend servers. The kind rollout, named like its service, states the target version and the time until the deadline. A rollout of an undeclared service contradicts the configuration. The tests of pkg/object and internal/configuration pass.

--- a/internal/configuration/commit_test.go
+++ b/internal/configuration/commit_test.go
@@ -135,6 +135,9 @@
 	zone := func(name string, in bool) Draft {
 		return Draft{ID: object.ID{Kind: object.KindAvailabilityZone, Name: name}, Spec: object.AvailabilityZoneSpec{InService: in}, AnyVersion: true}
 	}
+	rollout := func(service string) Draft {
+		return Draft{ID: object.ID{Kind: object.KindRollout, Name: service}, Spec: object.RolloutSpec{Target: "v2", OverMs: 12_000}}
+	}
 	service := Draft{ID: object.ID{Kind: object.KindService, Name: "rota"}, Spec: object.ServiceSpec{}}
 	declared, _ := withKey("op-0", "k")
 	base := newState(&Snapshot{})
@@ -153,6 +156,8 @@
 		want object.RefusalCode
 	}{
 		"route to an undeclared service":   {put("1", route("x", "", "/x", "none")), object.Contradiction},
+		"rollout of an undeclared service": {put("1", rollout("none")), object.Contradiction},
+		"rollout of a service":             {put("1", rollout("rota")), ""},
 		"same method and prefix":           {put("1", route("x", "GET", "/rota", "rota")), object.Contradiction},
 		"other host, same prefix":          {put("1", Draft{ID: object.ID{Kind: object.KindRoute, Name: "x"}, Spec: object.RouteSpec{Host: "h.example", Method: "GET", PathPrefix: "/rota", Service: "rota"}}), ""},
 		"other method, same prefix":        {put("1", route("x", "POST", "/rota", "rota")), ""},
--- a/internal/configuration/contradiction.go
+++ b/internal/configuration/contradiction.go
@@ -17,6 +17,8 @@
 		switch spec := objects[id].Spec.(type) {
 		case object.KeySpec:
 			err = requireDeclared(objects, object.KindClientAccount, spec.ClientAccount, "spec.client-account")
+		case object.RolloutSpec:
+			err = requireDeclared(objects, object.KindService, id.Name, "name")
 		case object.RouteSpec:
 			err = requireDeclared(objects, object.KindService, spec.Service, "spec.service")
 			key := routeKey{host: spec.Host, method: spec.Method, prefix: spec.PathPrefix}
--- a/internal/configuration/snapshot.go
+++ b/internal/configuration/snapshot.go
@@ -29,6 +29,8 @@
 	accounts map[string]object.ClientAccountSpec
 	services map[string]object.ServiceSpec
 	zones    map[string]object.AvailabilityZoneSpec
+	// rollouts holds the orders of rollouts, nil if there are none.
+	rollouts []object.Object
 	keys     map[string]*keyEntry
 	// digests maps the digest of each client key that was generated outside this
 	// system, so that only its digest is known, to its client account.
@@ -77,6 +79,8 @@
 		s.services[o.Name] = spec
 	case object.AvailabilityZoneSpec:
 		s.zones[o.Name] = spec
+	case object.RolloutSpec:
+		s.rollouts = append(s.rollouts, o)
 	case object.RouteSpec:
 		s.addRoute(newRoute(o.Name, spec))
 	case object.KeySpec:
@@ -184,6 +188,9 @@
 // Zones returns the availability zones by name. The map must not be changed.
 func (s *Snapshot) Zones() map[string]object.AvailabilityZoneSpec { return s.zones }
 
+// Rollouts returns the rollouts in no particular order. The slice must not be changed.
+func (s *Snapshot) Rollouts() []object.Object { return s.rollouts }
+
 // Object returns the object with the given identifier.
 func (s *Snapshot) Object(id object.ID) (object.Object, bool) {
 	o, ok := s.objects[id]
--- a/pkg/object/decode.go
+++ b/pkg/object/decode.go
@@ -48,6 +48,7 @@
 var specDecoders = map[Kind]specDecoder{
 	KindClientAccount:    decodeSpec[ClientAccountSpec],
 	KindKey:              decodeSpec[KeySpec],
+	KindRollout:          decodeSpec[RolloutSpec],
 	KindRoute:            decodeRouteSpec,
 	KindService:          decodeSpec[ServiceSpec],
 	KindAvailabilityZone: decodeSpec[AvailabilityZoneSpec],
--- a/pkg/object/decode_test.go
+++ b/pkg/object/decode_test.go
@@ -29,6 +29,10 @@
 		"trailing slash":                 {strings.Replace(validRoute, "/toll", "/toll/", 1), "spec.path-prefix"},
 		"unknown isolated-keys":          {`{"kind":"availability-zone","name":"a","spec":{"in-service":true,"isolated-keys":"x"}}`, "spec.isolated-keys"},
 		"isolated-after-ms too small":    {`{"kind":"availability-zone","name":"a","spec":{"in-service":true,"isolated-after-ms":10}}`, "spec.isolated-after-ms"},
+		"rollout without target":         {`{"kind":"rollout","name":"a","spec":{"over-ms":12000}}`, "spec.target"},
+		"rollout with space in target":   {`{"kind":"rollout","name":"a","spec":{"target":"v 2","over-ms":12000}}`, "spec.target"},
+		"rollout over no time":           {`{"kind":"rollout","name":"a","spec":{"target":"v2"}}`, "spec.over-ms"},
+		"rollout over too long":          {`{"kind":"rollout","name":"a","spec":{"target":"v2","over-ms":86400001}}`, "spec.over-ms"},
 		"object too large":               {`{"kind":"service","name":"a","spec":{"description":"` + strings.Repeat("x", MaxSize) + `"}}`, ""},
 		"trailing data":                  {validRoute + "{}", ""},
 	}
@@ -56,6 +60,7 @@
 	f.Add([]byte(`{"kind":"key","name":"a","spec":{"client-account":"a","salt":"00","hash":"ff","withdrawn":true}}`))
 	f.Add([]byte(`{"kind":"availability-zone","name":"a","created":"2026-01-01T00:00:00Z","spec":{"in-service":true,"isolated-keys":"serve"}}`))
 	f.Add([]byte(`{"kind":"service","name":"a","spec":{},"status":{"conditions":[{"type":"in-force","status":"true"}]}}`))
+	f.Add([]byte(`{"kind":"rollout","name":"a","spec":{"target":"v2","over-ms":12000}}`))
 	f.Add([]byte(`{"kind":"route","spec":null}`))
 	f.Add([]byte(`[]`))
 	f.Fuzz(func(t *testing.T, data []byte) {
--- a/pkg/object/id.go
+++ b/pkg/object/id.go
@@ -19,7 +19,7 @@
 
 // Kinds returns all kinds of objects in alphabetical order.
 func Kinds() []Kind {
-	return []Kind{KindAvailabilityZone, KindClientAccount, KindKey, KindRoute, KindService}
+	return []Kind{KindAvailabilityZone, KindClientAccount, KindKey, KindRollout, KindRoute, KindService}
 }
 
 // Valid reports whether k is a known kind.
--- a/pkg/object/object.go
+++ b/pkg/object/object.go
@@ -1,5 +1,5 @@
 // Package object defines the configuration objects that operators declare:
-// client accounts, keys, routes, services and availability zones.
+// client accounts, keys, routes, services, availability zones and rollouts.
 package object
 
 import "time"
@@ -11,6 +11,7 @@
 const (
 	KindClientAccount    Kind = "client-account"
 	KindKey              Kind = "key"
+	KindRollout          Kind = "rollout"
 	KindRoute            Kind = "route"
 	KindService          Kind = "service"
 	KindAvailabilityZone Kind = "availability-zone"
@@ -128,6 +129,16 @@
 	ColdRate float64 `json:"cold-rate,omitempty"`
 }
 
+// RolloutSpec orders that the traffic of the service with the object's name be moved to
+// another version of its backend servers.
+type RolloutSpec struct {
+	// Target is the version that the backend servers of the new version announce.
+	Target string `json:"target"`
+	// OverMs is the time from the order to its deadline, in milliseconds. By then the
+	// rollout is completed or rolled back.
+	OverMs int `json:"over-ms"`
+}
+
 // AvailabilityZoneSpec declares whether an availability zone gets new requests,
 // and what its nodes do while they are isolated.
 type AvailabilityZoneSpec struct {
--- a/pkg/object/validate.go
+++ b/pkg/object/validate.go
@@ -16,6 +16,8 @@
 	maxPathPrefixBytes  = 1024
 	maxRate             = 1e9
 	maxTimeoutMs        = 10 * 60 * 1000
+	maxVersionBytes     = 128
+	maxOverMs           = 24 * 60 * 60 * 1000
 	minIsolatedAfterMs  = 15 * 1000
 	maxIsolatedAfterMs  = 24 * 60 * 60 * 1000
 	saltBytes           = 16
@@ -136,6 +138,35 @@
 	return nil
 }
 
+// Kind implements Spec.
+func (RolloutSpec) Kind() Kind { return KindRollout }
+
+// Validate implements Spec.
+func (s RolloutSpec) Validate() FieldErrors {
+	var errs FieldErrors
+	if !ValidVersion(s.Target) {
+		errs = append(errs, FieldError{"target", "the version " + quote(s.Target) + " is not valid", fmt.Sprintf("visible ASCII characters, 1 to %d", maxVersionBytes)})
+	}
+	if s.OverMs < 1 || s.OverMs > maxOverMs {
+		errs = append(errs, FieldError{"over-ms", "the time is " + strconv.Itoa(s.OverMs) + " ms", fmt.Sprintf("milliseconds, 1 to %d", maxOverMs)})
+	}
+	return errs
+}
+
+// ValidVersion reports whether version can be the version of a backend server: 1 to 128
+// visible ASCII characters.
+func ValidVersion(version string) bool {
+	if version == "" || len(version) > maxVersionBytes {
+		return false
+	}
+	for i := range len(version) {
+		if version[i] <= ' ' || version[i] > '~' {
+			return false
+		}
+	}
+	return true
+}
+
 // Kind implements Spec.
 func (AvailabilityZoneSpec) Kind() Kind { return KindAvailabilityZone }
 
