Tell entries and owners apart calls that are meant for a candidate

Load.Superseded reports that a service's traffic moves to another version, and Request.Candidate that the entry knows that the host's version is not in force. Both use spare bits of the last flag byte of the packed messages, which nodes of earlier builds ignore and read as unset. Permit.OwnTime gives the time of a request less its nested calls.

--- a/internal/admission/load.go
+++ b/internal/admission/load.go
@@ -28,6 +28,9 @@
 	// FailingPercent is the percentage of recent requests that the backend
 	// server itself refused, failed or broke off.
 	FailingPercent int `json:"failing-percent"`
+	// Superseded reports that the service's traffic moves to another version of its
+	// backend servers, so that this host takes no new requests.
+	Superseded bool `json:"superseded,omitempty"`
 }
 
 // shedNone represents a ShedFrom of object.UrgencyCount in JSON.
--- a/internal/admission/permit.go
+++ b/internal/admission/permit.go
@@ -88,6 +88,24 @@
 	}
 }
 
+// OwnTime returns the time since the request started, less the time that it waited for
+// nested calls, and whether it waits for one now.
+func (p *Permit) OwnTime() (took time.Duration, waitsForNested bool) {
+	p.controller.mu.Lock()
+	defer p.controller.mu.Unlock()
+	now := p.controller.now()
+	return p.ownTime(now), p.nested > 0
+}
+
+// ownTime is OwnTime's first result. The controller's mutex must be held.
+func (p *Permit) ownTime(now time.Time) time.Duration {
+	nestedTime := p.nestedTime
+	if p.nested > 0 {
+		nestedTime += now.Sub(p.nestedStart)
+	}
+	return now.Sub(p.start) - nestedTime
+}
+
 // Done records how the exchange ended and frees the slot. Calls after the first
 // have no effect.
 func (p *Permit) Done(outcome Outcome) {
@@ -100,14 +118,10 @@
 // sample returns a description of the finished request for the limiter. The
 // controller's mutex must be held.
 func (p *Permit) sample(outcome Outcome, remaining int, now time.Time) sample {
-	nestedTime := p.nestedTime
-	if p.nested > 0 {
-		nestedTime += now.Sub(p.nestedStart)
-	}
 	return sample{
 		outcome:          outcome,
 		startTime:        p.start,
-		took:             now.Sub(p.start) - nestedTime,
+		took:             p.ownTime(now),
 		startConcurrency: p.concurrency,
 		remaining:        remaining,
 		expired:          !p.deadline.IsZero() && !now.Before(p.deadline),
--- a/internal/call/call.go
+++ b/internal/call/call.go
@@ -65,6 +65,10 @@
 	// backend server, and on all calls nested in such an attempt. The first
 	// attempts of those nested calls are counted as retries and earn none.
 	Repeated bool
+	// Candidate is set if the entry knows that the host's backend server has a version
+	// that is not in force. Such a host refuses other calls, so that entries that don't
+	// know of the version, or of rollouts at all, send it no traffic.
+	Candidate bool
 }
 
 // Answer is the owner's reply to an entry: either the backend server's response or
--- a/internal/call/packed.go
+++ b/internal/call/packed.go
@@ -44,7 +44,7 @@
 	p.int(int64(r.Remaining))
 	p.int(int64(r.Patience))
 	p.int(int64(r.ExtraAttempts))
-	p.bools(r.NonRepeatable, r.Repeated)
+	p.bools(r.NonRepeatable, r.Repeated, r.Candidate)
 	return Packed{p.data}
 }
 
@@ -67,7 +67,7 @@
 	r.Remaining = time.Duration(u.int())
 	r.Patience = time.Duration(u.int())
 	r.ExtraAttempts = int(u.int())
-	u.bools(&r.NonRepeatable, &r.Repeated)
+	u.bools(&r.NonRepeatable, &r.Repeated, &r.Candidate)
 	return r, u.err
 }
 
@@ -82,7 +82,7 @@
 	p.failure(a.Err)
 	p.load(a.Load)
 	p.int(int64(a.ExtraAttempts))
-	p.bools(a.Offered, a.NonRepeatable, a.RefusedBeneath)
+	p.bools(a.Offered, a.NonRepeatable, a.RefusedBeneath, a.Load.Superseded)
 	return Packed{p.data}
 }
 
@@ -101,7 +101,7 @@
 	a.Err = u.failure()
 	a.Load = u.load()
 	a.ExtraAttempts = int(u.int())
-	u.bools(&a.Offered, &a.NonRepeatable, &a.RefusedBeneath)
+	u.bools(&a.Offered, &a.NonRepeatable, &a.RefusedBeneath, &a.Load.Superseded)
 	return a, u.err
 }
 
@@ -143,7 +143,8 @@
 	}
 }
 
-// bools appends up to eight flags as one byte.
+// bools appends up to eight flags as one byte. Nodes of builds that have fewer flags
+// ignore the later ones, and read them as unset.
 func (p *packer) bools(flags ...bool) {
 	var b byte
 	for i, set := range flags {
