Keep candidates apart from the other hosts of a service

A host whose version is not in force is chosen only for requests that ask for a candidate. One that refuses, is full, can't be reached or is in a zone out of service means a host of the old version. While a hint says that the traffic of the service moves, its calls go to the candidates for 5 s. Candidates take turns a second at a time, so that the few in use get about the load of an old server.

--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -25,6 +25,7 @@
 	metrics             = metric.NewGroup("balance")
 	chosenOwnZone       = metrics.Int("chosen-own-zone-requests")
 	chosenOtherZone     = metrics.Int("chosen-other-zone-requests")
+	chosenCandidate     = metrics.Int("chosen-candidate-requests")
 	refusedEarly        = metrics.Int("refused-early-requests")
 	refusedNoHost       = metrics.Int("refused-no-host-requests")
 	refusedOutOfService = metrics.Int("refused-zone-out-of-service-requests")
@@ -47,6 +48,8 @@
 	// DisableEarlyRefusal sends calls even if all candidates refuse their urgency. It
 	// exists so that the effect of the refusal can be measured.
 	DisableEarlyRefusal bool
+	// CandidateFraction is the fraction of a service's calls that ask for a candidate.
+	CandidateFraction float64
 }
 
 // Request describes a call for which a host is to be chosen.
@@ -64,13 +67,18 @@
 	// Exclude holds the IDs of hosts that are not eligible because the call was
 	// already sent to them.
 	Exclude []string
+	// Candidate asks for a host whose version is not in force. Without one that takes
+	// the call, another host is chosen.
+	Candidate bool
 }
 
 // service holds the hosts of one service: those of the Balancer's own zone, nil if
-// there are none, and those of each other zone.
+// there are none, and those of each other zone. It holds its candidates apart, nil if
+// there are none.
 type service struct {
-	own    *group
-	others []*group
+	own        *group
+	others     []*group
+	candidates *candidates
 }
 
 // snapshot holds the hosts that Choose reads. The maps are not modified after it is
@@ -78,6 +86,9 @@
 type snapshot struct {
 	services map[string]*service
 	states   map[string]*state
+	// candidates holds, by the ID of each host of a service with candidates, that
+	// service's candidates. It is nil if no service has any.
+	candidates map[string]*candidates
 }
 
 // Balancer chooses hosts. Its methods may be called concurrently.
@@ -87,6 +98,9 @@
 
 	mu    sync.Mutex
 	zones map[string]*zone
+	// superseded holds, by service with candidates, until when its calls go to the
+	// candidates, in Unix nanoseconds.
+	superseded map[string]*atomic.Int64
 }
 
 // New returns a Balancer that knows no hosts.
@@ -112,8 +126,13 @@
 		states:   make(map[string]*state),
 	}
 	for name, hosts := range byService {
+		if slices.ContainsFunc(hosts, func(h Host) bool { return h.Candidate }) {
+			b.addWithCandidates(next, name, hosts)
+			continue
+		}
 		next.services[name] = b.newService(hosts, next.states)
 	}
+	b.forgetSuperseded(next)
 	b.snapshot.Store(next)
 }
 
@@ -184,7 +203,19 @@
 	if service == nil {
 		return Host{}, noHostError(&r)
 	}
-	s := search{request: &r, now: b.config.Now().UnixNano(), ignoreShedding: b.config.DisableEarlyRefusal}
+	now := b.config.Now().UnixNano()
+	if service.candidates != nil {
+		host, decided, err := b.chooseCandidate(service.candidates, &r, now)
+		if decided {
+			return host, err
+		}
+	}
+	return b.chooseFrom(service, &r, now)
+}
+
+// chooseFrom returns a host of the service other than a candidate.
+func (b *Balancer) chooseFrom(service *service, r *Request, now int64) (Host, error) {
+	s := search{request: r, now: now, ignoreShedding: b.config.DisableEarlyRefusal}
 	if b.tryOwnZone(service, s.now) {
 		s.considerTwo(service.own, b.config.Random)
 	}
@@ -317,9 +348,13 @@
 
 // Observe records the load hint that came with a host's answer.
 func (b *Balancer) Observe(hostID string, l admission.Load, now time.Time) {
-	if s := b.state(hostID); s != nil {
+	snapshot := b.snapshot.Load()
+	if s := snapshot.states[hostID]; s != nil {
 		s.observe(l, now.UnixNano())
 	}
+	if c := snapshot.candidates[hostID]; c != nil && l.Superseded {
+		c.supersede(now.UnixNano())
+	}
 }
 
 // RecordUnreachable records that a host could not be reached. The host is avoided
--- /dev/null
+++ b/internal/balance/candidate.go
@@ -0,0 +1,154 @@
+package balance
+
+import (
+	"cmp"
+	"encoding/binary"
+	"math"
+	"slices"
+	"sync/atomic"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"curranthold.example/curranthold/pkg/verdict"
+)
+
+const (
+	// supersededTime is how long the calls of a service go to its candidates after a
+	// host's hint that its traffic moves there. It is longer than the membership takes
+	// to say that the candidates' version is in force, after which no hints may come.
+	supersededTime = 5 * time.Second
+	// activeTime is how long the same candidates are used. All entry nodes use the same
+	// ones, as far as their clocks and members agree.
+	activeTime = time.Second
+)
+
+// candidates holds the hosts of a service whose version is not in force.
+type candidates struct {
+	// fraction is the fraction of the service's calls that ask for a candidate.
+	fraction float64
+	members  []member
+	zones    map[string]*zone
+	// successors holds the candidates, and the other hosts that have the same version
+	// as one, since the membership may learn one by one that a version is in force.
+	successors *service
+	// supersededUntil is until when the service's calls go to the successors, in Unix
+	// nanoseconds.
+	supersededUntil *atomic.Int64
+	active          atomic.Pointer[active]
+}
+
+// active holds the candidates that are used during one activeTime.
+type active struct {
+	period int64
+	group  *group
+}
+
+// addWithCandidates adds a service with candidates to the snapshot.
+func (b *Balancer) addWithCandidates(next *snapshot, name string, hosts []Host) {
+	c := &candidates{
+		fraction: b.config.CandidateFraction, zones: make(map[string]*zone), supersededUntil: b.superseded[name],
+	}
+	if c.supersededUntil == nil {
+		c.supersededUntil = new(atomic.Int64)
+	}
+	if next.candidates == nil {
+		next.candidates = make(map[string]*candidates)
+	}
+	versions := make(map[string]bool)
+	var others, successors []Host
+	for _, h := range hosts {
+		next.candidates[h.ID] = c
+		if !h.Candidate {
+			others = append(others, h)
+			continue
+		}
+		versions[h.Version] = true
+		if !h.Leaving {
+			c.members = append(c.members, member{host: h, state: b.reuseState(h.ID, next.states)})
+			c.zones[h.Zone] = b.zone(h.Zone)
+		}
+	}
+	for _, h := range hosts {
+		if h.Candidate || versions[h.Version] {
+			successors = append(successors, h)
+		}
+	}
+	c.successors = b.newService(successors, next.states)
+	s := b.newService(others, next.states)
+	s.candidates = c
+	next.services[name] = s
+	if b.superseded == nil {
+		b.superseded = make(map[string]*atomic.Int64)
+	}
+	b.superseded[name] = c.supersededUntil
+}
+
+// forgetSuperseded forgets the services that no longer have candidates.
+func (b *Balancer) forgetSuperseded(next *snapshot) {
+	for name := range b.superseded {
+		if s := next.services[name]; s == nil || s.candidates == nil {
+			delete(b.superseded, name)
+		}
+	}
+}
+
+// supersede makes the service's calls go to the successors for some time.
+func (c *candidates) supersede(now int64) {
+	c.supersededUntil.Store(now + int64(supersededTime))
+}
+
+// chooseCandidate returns a candidate for the request if it asks for one, and a successor
+// while the service's traffic moves there. Decided is false if the request has to go to
+// another host.
+func (b *Balancer) chooseCandidate(c *candidates, r *Request, now int64) (host Host, decided bool, err error) {
+	if now < c.supersededUntil.Load() {
+		host, err := b.chooseFrom(c.successors, r, now)
+		// The other hosts refuse calls too, so that a refusal because of load is final.
+		return host, err == nil || verdict.From(err).Code == verdict.Overloaded, err
+	}
+	if !r.Candidate {
+		return Host{}, false, nil
+	}
+	s := search{request: r, now: now, ignoreShedding: b.config.DisableEarlyRefusal}
+	if g := c.activeGroup(now); g != nil {
+		s.considerTwo(g, b.config.Random)
+	}
+	if s.saturated() || (r.RequireSpareCapacity && s.best.score > maxSpareScore) {
+		return Host{}, false, nil
+	}
+	host = s.best.member.host
+	if !b.randomBool(c.zones[host.Zone].weight(now)) {
+		return Host{}, false, nil
+	}
+	chosenCandidate.Add(1)
+	return host, true, nil
+}
+
+// activeGroup returns the candidates to use now, nil if there are none: so few that each
+// gets about the load of a host of the version in force, in an order that changes with
+// each activeTime. Candidates in zones that are out of service have no turn.
+func (c *candidates) activeGroup(now int64) *group {
+	period := now / int64(activeTime)
+	if a := c.active.Load(); a != nil && a.period == period {
+		return a.group
+	}
+	members := slices.DeleteFunc(slices.Clone(c.members), func(m member) bool {
+		return c.zones[m.host.Zone].outOfService.Load()
+	})
+	slices.SortFunc(members, func(x, y member) int {
+		return cmp.Or(cmp.Compare(turn(period, x.host.ID), turn(period, y.host.ID)), cmp.Compare(x.host.ID, y.host.ID))
+	})
+	a := &active{period: period}
+	if len(members) > 0 {
+		used := int(math.Ceil(c.fraction * float64(len(members))))
+		a.group = newGroup(nil, members[:min(max(used, 1), len(members))])
+	}
+	c.active.Store(a)
+	return a.group
+}
+
+// turn returns the place of a host in the order of a period.
+func turn(period int64, id string) uint64 {
+	return xxhash.Sum64(binary.LittleEndian.AppendUint64([]byte(id), uint64(period)))
+}
--- a/internal/balance/host.go
+++ b/internal/balance/host.go
@@ -50,6 +50,12 @@
 	// Cold marks a host whose backend server has just started. It gets few
 	// requests until a load hint states its concurrency limit.
 	Cold bool
+	// Version is the version of the host's backend server, empty if it states none.
+	Version string
+	// Candidate marks a host whose version is not in force. It is chosen only for
+	// requests that ask for a candidate, and while the traffic of its service moves to
+	// its version.
+	Candidate bool
 }
 
 // state is what this process has learnt about a host. Goroutines that handle
@@ -64,6 +70,9 @@
 	limit    atomic.Int32
 	shedFrom atomic.Int32
 	leaving  atomic.Bool
+	// supersededAt is when the last hint arrived that the service's traffic moves to
+	// another version, and 0 if a later hint did not say so.
+	supersededAt atomic.Int64
 	// failing is the percentage of requests that the backend server failed,
 	// according to the last hint.
 	failing atomic.Int32
@@ -95,6 +104,11 @@
 	s.shedFrom.Store(int32(l.ShedFrom))
 	s.leaving.Store(l.Leaving)
 	s.failing.Store(int32(l.FailingPercent))
+	if l.Superseded {
+		s.supersededAt.Store(now)
+	} else if s.supersededAt.Load() != 0 {
+		s.supersededAt.Store(0)
+	}
 	s.inFlightAtHint.Store(s.inFlight.Load())
 	s.hintAt.Store(now)
 	if s.failures.Load() != 0 {
@@ -176,8 +190,12 @@
 
 // failurePenalty returns what the requests that the backend server fails add to the
 // host's score, between 0 and 1. It is 0 once the last hint has expired, so that the
-// host is tried again.
+// host is tried again. A host that recently refused requests because their service's
+// traffic moves to another version gets the full penalty.
 func (s *state) failurePenalty(now int64) float64 {
+	if at := s.supersededAt.Load(); at != 0 && now-at < int64(supersededTime) {
+		return 1
+	}
 	if now-s.hintAt.Load() >= int64(hintMaxAge) {
 		return 0
 	}
