Wire rollouts into owner, node, resource API and the platform's adapter

Members carry the version of their backend server and whether it is a candidate. The owner refuses calls by the rollout's decision, before admission and once more after the wait for it, and records each response with the time less nested calls. A candidate also refuses calls that are not marked for it, so that entries of earlier builds, or that have not heard of the version yet, send it no traffic. Responses to calls that fail because of nested calls are not recorded.

The node builds the manager of rollouts if canary-percent is above 0, keeps its records in a row of the table for each service, and passes it orders, hosts and the own backend server's version. The state is readable at /v1/rollouts and by the rollout command. The adapter translates order rows, the heartbeat's version, the status row and the three bounds; an order that is not valid is logged and left out. A node that restarts next to a running backend server announces it before its first heartbeat only if its version is beyond doubt.

--- a/cmd/curranthold-stand-in/backend.go
+++ b/cmd/curranthold-stand-in/backend.go
@@ -79,6 +79,7 @@
 	flags.StringVar(&c.listen, "listen", "127.0.0.1:0", "address to listen on")
 	flags.StringVar(&c.runs, "runs", "", "file to which each run is appended as a JSON line")
 	flags.StringVar(&c.config.Service, "service", "", "name of the service")
+	flags.StringVar(&c.config.Version, "version", "", "version that it announces")
 	flags.StringVar(&c.config.Node, "node", "", "address at which the node accepts announcements and nested calls of its backend server")
 	flags.IntVar(&c.config.Slots, "slots", 50, "maximum number of concurrent requests; more are refused")
 	flags.IntVar(&c.config.Connections, "connections", 400, "number of connections that it announces")
--- a/cmd/curranthold/object.go
+++ b/cmd/curranthold/object.go
@@ -41,6 +41,7 @@
 	return []*command{
 		applyCommand(env), checkCommand(env), getCommand(env), describeCommand(env),
 		watchCommand(env), deleteCommand(env), keyCommand(env), zoneCommand(env),
+		rolloutCommand(env),
 	}
 }
 
--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -157,6 +157,8 @@
 		Urgency: x.request.Urgency,
 		Nested:  x.request.Depth > 0,
 		Exclude: excluded,
+
+		Candidate: e.useCandidate(x, number),
 	})
 	if err != nil {
 		return "", false, err
@@ -169,6 +171,7 @@
 	budgetShare := e.budgetShare(x)
 	request := x.request
 	request.ID = x.id + "/" + strconv.Itoa(number)
+	request.Candidate = host.Candidate
 	request.ExtraAttempts = budgetShare.Retries()
 	if deadline, ok := ctx.Deadline(); ok {
 		request.Remaining = time.Until(deadline)
@@ -193,6 +196,14 @@
 	return host.ID, err == nil || answer.Offered, err
 }
 
+// useCandidate reports whether an attempt asks for a host whose version is not in force.
+// Only first attempts do, and no nested calls of repeated ones: what failed on such a
+// host is retried on another.
+func (e *Entry) useCandidate(x *activeCall, attempt int) bool {
+	return e.config.Rollouts != nil && attempt == 1 && !x.request.Repeated &&
+		e.config.Rollouts.UseCandidate(x.request.Service)
+}
+
 // accept takes the outcome of an attempt: it makes the response of a backend server the
 // call's answer, and returns any other outcome as an error.
 func (e *Entry) accept(x *activeCall, result *sendResult) error {
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -65,6 +65,13 @@
 	Parent(token string) (*owner.Parent, bool)
 }
 
+// Rollouts decides which calls are sent to versions that are not in force.
+type Rollouts interface {
+	// UseCandidate reports whether the next first attempt of a call to the service is
+	// sent to a candidate.
+	UseCandidate(service string) bool
+}
+
 // Config contains the dependencies and settings of an entry.
 type Config struct {
 	Host string
@@ -82,6 +89,8 @@
 	Balancer *balance.Balancer
 	Peers    peer.Caller
 	Owner    Owner
+	// Rollouts may be nil.
+	Rollouts Rollouts
 	// RequestBytes is the maximum size of a request body.
 	RequestBytes int64
 	// CallsInFlight bounds the concurrent calls from callers, and BytesInFlight
--- a/internal/entry/hedge.go
+++ b/internal/entry/hedge.go
@@ -176,6 +176,7 @@
 	hedge := *request
 	hedge.ID += "/second"
 	hedge.Repeated = true
+	hedge.Candidate = host.Candidate
 	hedge.Patience = minQueueWait
 	if deadline, ok := ctx.Deadline(); ok {
 		hedge.Remaining = time.Until(deadline)
--- a/internal/membership/list.go
+++ b/internal/membership/list.go
@@ -127,11 +127,29 @@
 // RPC returns the net/rpc receiver that serves the calls of other nodes.
 func (l *List) RPC() any { return &RPC{list: l} }
 
-// Announce announces the backend server on this host to the other nodes. An empty
-// service means that there is none.
-func (l *List) Announce(service string, slots int, cold bool) {
+// Backend describes the backend server on this host. The zero Backend means that there
+// is none.
+type Backend struct {
+	Service, Version string
+	Slots            int
+	Cold, Candidate  bool
+}
+
+// Announce announces the backend server on this host to the other nodes.
+func (l *List) Announce(b Backend) {
+	_ = l.do(func() {
+		l.roster.update(func(m *Member) {
+			m.Service, m.Slots, m.Cold = b.Service, b.Slots, b.Cold
+			m.BackendVersion, m.Candidate = b.Version, b.Candidate
+		})
+	})
+}
+
+// SetCandidate announces whether the version of the backend server on this host is not
+// in force.
+func (l *List) SetCandidate(candidate bool) {
 	_ = l.do(func() {
-		l.roster.update(func(m *Member) { m.Service, m.Slots, m.Cold = service, slots, cold })
+		l.roster.update(func(m *Member) { m.Candidate = candidate && m.Service != "" })
 	})
 }
 
--- a/internal/membership/member.go
+++ b/internal/membership/member.go
@@ -63,6 +63,12 @@
 	Slots int `json:"slots,omitempty"`
 	// Cold is set during the backend server's cold start.
 	Cold bool `json:"cold,omitempty"`
+	// BackendVersion is the version that the backend server announced, empty if it
+	// announced none.
+	BackendVersion string `json:"backend-version,omitempty"`
+	// Candidate is set while the version of the backend server is not in force: the host
+	// gets no calls but those that a rollout sends there.
+	Candidate bool `json:"candidate,omitempty"`
 }
 
 // Live reports whether the member is not dead. A suspect is live.
--- a/internal/membership/zone_test.go
+++ b/internal/membership/zone_test.go
@@ -112,7 +112,7 @@
 		go l.Run(ctx)
 		go func() {
 			time.Sleep(time.Second)
-			l.Announce("service", 50, false)
+			l.Announce(Backend{Service: "service", Slots: 50})
 		}()
 	}
 	return n, lists
--- a/internal/node/adapter.go
+++ b/internal/node/adapter.go
@@ -8,6 +8,7 @@
 	"curranthold.example/curranthold/internal/entry"
 	"curranthold.example/curranthold/internal/owner"
 	"curranthold.example/curranthold/internal/platform"
+	"curranthold.example/curranthold/internal/rollout"
 )
 
 // Adapter replaces a node's built-in interfaces to the platform, callers, the
@@ -30,6 +31,8 @@
 	// Readiness returns the handler of readiness checks, which calls ready to
 	// learn whether the node accepts calls.
 	Readiness func(ready func() bool) http.Handler
+	// PublishRollout writes the state of a service's rollout for the operators.
+	PublishRollout func(ctx context.Context, service, target string, state rollout.State) error
 }
 
 // HeartbeatReceiver receives the heartbeats of the backend server on this host.
--- a/internal/node/health_check.go
+++ b/internal/node/health_check.go
@@ -55,7 +55,8 @@
 func (n *Node) checkBackendOnce(ctx context.Context) bool {
 	service := n.settings.Service
 	slots := n.fewestSlots(service)
-	if slots == 0 {
+	version, known := n.assumedVersion(service)
+	if slots == 0 || !known {
 		return false
 	}
 	health, err := n.checkHealth(ctx, service)
@@ -64,7 +65,7 @@
 	}
 	announced := n.owner.AnnounceProvisionally(owner.Heartbeat{
 		Announcement: owner.Announcement{
-			Service: service, Address: n.settings.ServerAddress, Slots: slots,
+			Service: service, Version: version, Address: n.settings.ServerAddress, Slots: slots,
 			Cold: health.ColdFor > 0, Incarnation: health.Incarnation,
 		},
 		ColdFor: health.ColdFor,
--- a/internal/node/listen.go
+++ b/internal/node/listen.go
@@ -105,12 +105,16 @@
 	}
 	router := httprouter.New()
 	router.Handler(http.MethodGet, "/debug/vars", expvar.Handler())
-	router.NotFound = resource.New(resource.Config{
+	config := resource.Config{
 		Host:          n.settings.Host,
 		Zone:          n.settings.AvailabilityZone,
 		Configuration: n.configuration,
 		Table:         n.table,
 		Operators:     operators,
-	})
+	}
+	if n.rollout != nil {
+		config.Rollouts = n
+	}
+	router.NotFound = resource.New(config)
 	return router
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -22,6 +22,7 @@
 	"curranthold.example/curranthold/internal/peer"
 	"curranthold.example/curranthold/internal/platform"
 	"curranthold.example/curranthold/internal/quota"
+	"curranthold.example/curranthold/internal/rollout"
 	"curranthold.example/curranthold/internal/settings"
 	"curranthold.example/curranthold/internal/tally"
 	"curranthold.example/curranthold/pkg/object"
@@ -61,8 +62,12 @@
 	tally     *tally.Manager
 	admission *admission.Controller
 	balancer  *balance.Balancer
-	owner     *owner.Owner
-	entry     *entry.Entry
+	// rollout and records are nil if the settings disable rollouts. All methods of a nil
+	// Manager work.
+	rollout *rollout.Manager
+	records *rolloutRecords
+	owner   *owner.Owner
+	entry   *entry.Entry
 	// leaving holds the hosts that have announced that they are leaving. Only the
 	// membership's callback uses it.
 	leaving map[string]bool
@@ -158,19 +163,20 @@
 	})
 	n.balancer = balance.New(balance.Config{
 		Zone: s.AvailabilityZone, DisableEarlyRefusal: s.Limits.Disabled(settings.EarlyRefusal),
+		CandidateFraction: canaryFraction * n.canaryShare(),
 	})
+	n.buildRollout()
 }
 
 // buildCallPath builds the components at the two ends of a call: the entry, which
 // takes calls from callers, and the owner, which passes them to the backend server.
 func (n *Node) buildCallPath() error {
-	var err error
-	n.owner, err = owner.New(owner.Config{
+	ownerConfig := owner.Config{
 		AnswerBytes:       int64(n.settings.Limits.AnswerBytes),
 		AnswerHeaderBytes: int64(n.settings.Limits.AnswerHeaderBytes),
 		LargeAnswers:      n.settings.Limits.LargeAnswers,
 		Admission:         n.admission,
-		OnBackendChange:   func(a owner.Announcement) { n.members.Announce(a.Service, a.Slots, a.Cold) },
+		OnBackendChange:   n.announceBackend,
 		IsKeyWithdrawn:    n.isKeyWithdrawn,
 		Codec:             n.adapter.Backend,
 		Service:           n.declaredService,
@@ -179,8 +185,12 @@
 		AnnouncementTTL: n.settings.AnnouncementTTL(),
 		ColdRateFactor:  1 + float64(n.settings.Limits.ColdOveragePercent)/100/overageDivisor,
 		IdleTimeout:     n.settings.IdleTimeout(),
-	})
-	if err != nil {
+	}
+	if n.rollout != nil {
+		ownerConfig.Rollout = n.rollout
+	}
+	var err error
+	if n.owner, err = owner.New(ownerConfig); err != nil {
 		return err
 	}
 	config := entry.Config{
@@ -202,6 +212,9 @@
 		DisableHedging:    n.settings.Limits.Disabled(settings.Hedging),
 		DisableThrottle:   n.settings.Limits.Disabled(settings.Throttle),
 	}
+	if n.rollout != nil {
+		config.Rollouts = n.rollout
+	}
 	if n.adapter.external() {
 		config.Quota = n.tally
 	} else {
@@ -237,6 +250,10 @@
 		n.wg.Go(func() { _ = n.claims.Run(control) })
 	}
 	n.wg.Go(func() { n.expireAnnouncements(control) })
+	if n.rollout != nil {
+		n.wg.Go(func() { _ = n.rollout.Run(control) })
+		n.wg.Go(func() { n.announceCandidate(control) })
+	}
 	n.serve(n.listeners.backend, n.backendHandler())
 	n.serve(n.listeners.operator, n.operatorHandler())
 	calls := &drainHandler{handler: n.entry.CallerHandler(), refusal: n.entry.LeavingHandler()}
@@ -305,6 +322,9 @@
 		receivers["Quota"] = n.quota.RPC()
 		receivers["Claim"] = n.claims.RPC()
 	}
+	if n.rollout != nil {
+		receivers[rollout.ServiceName] = n.rollout.RPC()
+	}
 	var errs []error
 	for name, receiver := range receivers {
 		errs = append(errs, n.peers.Register(name, receiver))
--- a/internal/node/subscribe.go
+++ b/internal/node/subscribe.go
@@ -24,6 +24,7 @@
 		n.applyHosts(members)
 	}
 	if diff.backends {
+		n.applyVersions(members)
 		n.applyBackends(members)
 	}
 }
@@ -67,7 +68,7 @@
 		}
 		byService[m.Service] = append(byService[m.Service], balance.Host{
 			ID: m.ID, Zone: m.Zone, Address: m.Address, Slots: m.Slots,
-			Leaving: m.Leaving, Cold: m.Cold,
+			Leaving: m.Leaving, Cold: m.Cold, Version: m.BackendVersion, Candidate: m.Candidate,
 		})
 	}
 	n.balancer.SetHosts(byService)
@@ -96,6 +97,7 @@
 func (n *Node) applyConfiguration(s *configuration.Snapshot) {
 	n.applyStoreEra(configuration.Era(s.Generation()))
 	n.applyAccountLimits(s)
+	n.applyOrders(s)
 	inService := make(map[string]bool)
 	for name, spec := range s.Zones() {
 		inService[name] = spec.InService
--- a/internal/owner/announce.go
+++ b/internal/owner/announce.go
@@ -10,6 +10,7 @@
 
 	"curranthold.example/curranthold/internal/admission"
 	"curranthold.example/curranthold/internal/event"
+	"curranthold.example/curranthold/pkg/object"
 )
 
 const (
@@ -31,6 +32,8 @@
 	Connections int `json:"connections"`
 	// Cold is set while the backend server is in cold start.
 	Cold bool `json:"cold"`
+	// Version is the version of the backend server, empty if it states none.
+	Version string `json:"version"`
 	// Incarnation is the name of this instance of the backend server. Instances
 	// with the same name are distinguished by the start times in their heartbeats.
 	Incarnation string `json:"incarnation"`
@@ -50,6 +53,9 @@
 	if a.Connections < 0 {
 		return "connections must not be negative"
 	}
+	if a.Version != "" && !object.ValidVersion(a.Version) {
+		return "version must have at most 128 visible ASCII characters"
+	}
 	return ""
 }
 
--- a/internal/owner/event.go
+++ b/internal/owner/event.go
@@ -19,5 +19,7 @@
 	metricServed  = metrics.Int("served")
 	metricRefused = metrics.IntMap("refused-by-code")
 	metricWait    = metrics.Histogram("admission-wait-us")
-	metricBackend = metrics.Histogram("backend-latency-us")
+	// metricRefusedRollout counts the calls that rolloutStage refuses.
+	metricRefusedRollout = metrics.Int("refused-rollout-requests")
+	metricBackend        = metrics.Histogram("backend-latency-us")
 )
--- a/internal/owner/heartbeat.go
+++ b/internal/owner/heartbeat.go
@@ -159,7 +159,7 @@
 	if changed {
 		eventAnnounced.Log(event.Fields{
 			"service": a.Service, "address": a.Address, "slots": a.Slots, "cold": a.Cold,
-			"incarnation": a.Incarnation, "born": startMs, "cold-ms": coldFor.Milliseconds(),
+			"version": a.Version, "incarnation": a.Incarnation, "born": startMs, "cold-ms": coldFor.Milliseconds(),
 		})
 		o.notify(a)
 	}
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -19,7 +19,7 @@
 )
 
 // stageOrder lists the owner's stages in order.
-var stageOrder = []string{"service", "admission", "backend"}
+var stageOrder = []string{"service", "rollout", "admission", "rollout", "backend"}
 
 // stages is the registry of the owner's stages.
 var stages kernel.Registry[*Owner, *activeCall]
@@ -55,6 +55,8 @@
 	// ColdRateFactor is the call rate allowed for a backend server in cold start, as
 	// a multiple of the ColdRate of its service; 0 means 1.
 	ColdRateFactor float64
+	// Rollout decides which calls are refused during a rollout. It may be nil.
+	Rollout Rollout
 	// IdleTimeout is how long an idle connection to the backend server is kept
 	// open; 0 means a minute.
 	IdleTimeout time.Duration
@@ -131,7 +133,7 @@
 	answer.ID = request.ID
 	defer answer.Seal()
 	err := o.handler(ctx, c)
-	answer.Load = o.config.Admission.Load()
+	answer.Load = o.load()
 	answer.ExtraAttempts = request.ExtraAttempts
 	if c.parent != nil {
 		answer.ExtraAttempts = c.parent.close()
@@ -225,6 +227,7 @@
 func init() {
 	stages.Register("service", serviceStage)
 	stages.Register("admission", admissionStage)
+	stages.Register("rollout", rolloutStage)
 	stages.Register("backend", backendStage)
 }
 
@@ -255,7 +258,9 @@
 		c.permit = permit
 		err = next(ctx, c)
 		metricBackend.Record(time.Since(admitted))
-		permit.Done(c.outcome(err))
+		outcome := c.outcome(err)
+		o.recordResponse(c, outcome)
+		permit.Done(outcome)
 		return err
 	}
 }
@@ -296,7 +301,7 @@
 		return admission.Failed
 	case verdict.From(err).Code == verdict.BackendRefused:
 		return admission.Refused
-	case verdict.From(err).Code == verdict.Cancelled:
+	case verdict.From(err).Code == verdict.Cancelled, verdict.From(err).Code == verdict.Leaving:
 		return admission.Abandoned
 	default:
 		return admission.Broken
--- a/internal/resource/object.go
+++ b/internal/resource/object.go
@@ -112,6 +112,9 @@
 		return
 	}
 	d, err := draft(o)
+	if err == nil {
+		err = s.checkRollouts(d)
+	}
 	if err != nil {
 		writeRefusal(w, err)
 		return
@@ -121,6 +124,9 @@
 
 func (s *server) apply(w http.ResponseWriter, r *http.Request, _ httprouter.Params, operator string) {
 	body, drafts, err := readBatch(w, r)
+	if err == nil {
+		err = s.checkRollouts(drafts...)
+	}
 	if err != nil {
 		writeRefusal(w, err)
 		return
@@ -130,6 +136,9 @@
 
 func (s *server) check(w http.ResponseWriter, r *http.Request, _ httprouter.Params, operator string) {
 	_, drafts, err := readBatch(w, r)
+	if err == nil {
+		err = s.checkRollouts(drafts...)
+	}
 	if err != nil {
 		writeRefusal(w, err)
 		return
--- a/internal/resource/resource.go
+++ b/internal/resource/resource.go
@@ -16,6 +16,7 @@
 	"curranthold.example/curranthold/internal/configuration"
 	"curranthold.example/curranthold/internal/event"
 	"curranthold.example/curranthold/internal/platform"
+	"curranthold.example/curranthold/pkg/client"
 	"curranthold.example/curranthold/pkg/header"
 	"curranthold.example/curranthold/pkg/object"
 )
@@ -46,6 +47,13 @@
 	Ready() <-chan struct{}
 }
 
+// Rollouts reports the state of rollouts.
+type Rollouts interface {
+	// RolloutStatus returns the state of the service's last rollout; ok is false if none
+	// is known. The error means that the table service is out of reach.
+	RolloutStatus(ctx context.Context, service string) (status client.Rollout, ok bool, err error)
+}
+
 // Config configures the handler. Configuration and Table are required.
 type Config struct {
 	Host          string
@@ -56,6 +64,8 @@
 	// Operators maps the SHA-256 of each operator's token, in hexadecimal, to the
 	// operator's name.
 	Operators map[string]string
+	// Rollouts is nil if the settings disable rollouts.
+	Rollouts Rollouts
 }
 
 // server serves the API.
@@ -79,6 +89,8 @@
 
 	router.GET("/v1/status", s.authorized(s.status))
 	router.GET("/v1/audit", s.ready(s.audit))
+	router.GET("/v1/rollouts", s.ready(s.listRollouts))
+	router.GET("/v1/rollouts/:name", s.ready(s.getRollout))
 	router.GET("/v1/objects/:kind", s.ready(s.list))
 	router.GET("/v1/objects/:kind/:name", s.ready(s.get))
 	router.POST("/v1/objects", s.ready(s.apply))
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -120,6 +120,14 @@
 	// MemoryBytes is the memory limit of the Go runtime, which only the sidecar
 	// command sets; 0 means none.
 	MemoryBytes int `json:"memory-bytes"`
+	// CanaryPercent is the largest percentage of a service's requests that a bad version
+	// may get during its rollout, in addition to CanarySlack requests. 0 disables
+	// rollouts.
+	CanaryPercent int `json:"canary-percent"`
+	CanarySlack   int `json:"canary-slack"`
+	// RollbackMs is how soon after its 50th bad response a bad version must not be sent
+	// requests any more.
+	RollbackMs int `json:"rollback-ms"`
 	// IdleMs is how long an idle connection to the backend server is kept open.
 	IdleMs int `json:"idle-ms"`
 	// DisabledMechanisms names mechanisms to switch off, to measure the effect of
@@ -185,6 +193,8 @@
 			LeaveNoticeMs:     1000,
 			AnnouncementMs:    4000,
 			IdleMs:            60_000,
+			CanarySlack:       50,
+			RollbackMs:        5000,
 		},
 	}
 }
@@ -215,6 +225,10 @@
 // AnnouncementTTL is how long an announcement is valid unless it is repeated.
 func (s Settings) AnnouncementTTL() time.Duration { return milliseconds(s.Limits.AnnouncementMs) }
 
+// RollbackTime is how soon after its 50th bad response a bad version must not be sent
+// requests any more.
+func (s Settings) RollbackTime() time.Duration { return milliseconds(s.Limits.RollbackMs) }
+
 // ShutdownTimeout bounds a graceful shutdown.
 func (s Settings) ShutdownTimeout() time.Duration { return milliseconds(s.Limits.ShutdownMs) }
 
@@ -306,6 +320,9 @@
 	checkRange(report, "limits.quota-overage-percent", s.Limits.QuotaOveragePercent, 0, 100)
 	checkRange(report, "limits.cold-overage-percent", s.Limits.ColdOveragePercent, 0, 1000)
 	checkRange(report, "limits.retry-percent", s.Limits.RetryPercent, 0, 100)
+	checkRange(report, "limits.canary-percent", s.Limits.CanaryPercent, 0, 100)
+	checkRange(report, "limits.canary-slack", s.Limits.CanarySlack, 0, maxCallsInFlight)
+	checkRange(report, "limits.rollback-ms", s.Limits.RollbackMs, 1, maxTimeoutMs)
 	checkRange(report, "limits.announcement-ms", s.Limits.AnnouncementMs, 1, maxTimeoutMs)
 	checkRange(report, "limits.memory-bytes", s.Limits.MemoryBytes, 0, math.MaxInt)
 }
--- a/internal/standin/announce.go
+++ b/internal/standin/announce.go
@@ -29,6 +29,7 @@
 	Slots       int    `json:"slots"`
 	Connections int    `json:"connections"`
 	Cold        bool   `json:"cold"`
+	Version     string `json:"version,omitempty"`
 	Incarnation string `json:"incarnation"`
 }
 
@@ -78,6 +79,7 @@
 		Slots:       b.config.Slots,
 		Connections: b.config.Connections,
 		Cold:        b.updateReportedCold(),
+		Version:     b.config.Version,
 		Incarnation: b.incarnation,
 	})
 	if err != nil {
--- a/internal/standin/backend.go
+++ b/internal/standin/backend.go
@@ -305,6 +305,9 @@
 			return body, http.StatusBadGateway
 		}
 	}
+	if b.randomSource.chance(b.faults.get().Fail) {
+		return body, http.StatusInternalServerError
+	}
 	b.served.Add(1)
 	return body, http.StatusOK
 }
--- a/internal/standin/backend_config.go
+++ b/internal/standin/backend_config.go
@@ -11,6 +11,8 @@
 // BackendConfig configures a backend server.
 type BackendConfig struct {
 	Service string
+	// Version is the version that it announces.
+	Version string
 	// Address is the host and port in its records and announcements.
 	Address string
 	// Node is the host and port at which the node accepts its announcements and
@@ -56,6 +58,8 @@
 	Cold bool `json:"cold"`
 	// Refuse is the fraction of requests that are refused as overloaded.
 	Refuse float64 `json:"refuse"`
+	// Fail is the fraction of requests that run and get a response with status 500.
+	Fail float64 `json:"fail"`
 	// ResetConnections is the fraction of requests whose connection is reset in
 	// place of a response, half of them before the request runs and half after.
 	ResetConnections float64 `json:"reset-connections"`
--- a/pkg/client/client.go
+++ b/pkg/client/client.go
@@ -106,6 +106,20 @@
 	return result, err
 }
 
+// Rollout returns the state of a service's last rollout.
+func (c *Client) Rollout(ctx context.Context, service string) (Rollout, error) {
+	var rollout Rollout
+	err := c.read(ctx, "/v1/rollouts/"+url.PathEscape(service), nil, &rollout)
+	return rollout, err
+}
+
+// Rollouts returns the states of the rollouts that are ordered.
+func (c *Client) Rollouts(ctx context.Context) (Rollouts, error) {
+	var all Rollouts
+	err := c.read(ctx, "/v1/rollouts", nil, &all)
+	return all, err
+}
+
 // Audit returns at most limit records of the audit trail after a generation, oldest
 // first.
 func (c *Client) Audit(ctx context.Context, after uint64, limit int) (Audit, error) {
--- a/pkg/client/message.go
+++ b/pkg/client/message.go
@@ -121,3 +121,35 @@
 	// service was not reached.
 	Generation uint64 `json:"generation"`
 }
+
+// Rollout is the state of a service's last rollout.
+type Rollout struct {
+	Service string `json:"service"`
+	Target  string `json:"target"`
+	// State is running, completed or rolled-back.
+	State string `json:"state"`
+	// Phase is the step within the state: canary, promoting, completed or rolled-back.
+	Phase string `json:"phase,omitempty"`
+	// Reason states why the rollout is in its phase; it is empty while there is none.
+	Reason string `json:"reason,omitempty"`
+	// ElapsedMs is the time since the order was first seen, 0 if that is not known.
+	ElapsedMs int64 `json:"elapsed-ms,omitempty"`
+	// Old and New sum up the responses of the two versions. They are nil unless the node
+	// that responds decides about the rollout.
+	Old *VersionTotals `json:"old,omitempty"`
+	New *VersionTotals `json:"new,omitempty"`
+}
+
+// VersionTotals sums up the responses of one version during a rollout.
+type VersionTotals struct {
+	Hosts     int    `json:"hosts"`
+	Responses uint64 `json:"responses"`
+	Failures  uint64 `json:"failures"`
+	MedianMs  int64  `json:"median-ms"`
+	P95Ms     int64  `json:"p95-ms"`
+}
+
+// Rollouts is the response to a request for all rollouts.
+type Rollouts struct {
+	Rollouts []Rollout `json:"rollouts"`
+}
