--- a/internal/admission/load_test.go
+++ b/internal/admission/load_test.go
@@ -14,7 +14,7 @@
 
 func TestLoadRoundTrip(t *testing.T) {
 	for shedFrom := range object.Urgency(object.UrgencyCount + 1) {
-		load := admission.Load{InFlight: 1, Queued: 2, Limit: 3, Slots: 4, ShedFrom: shedFrom, Cold: true, Leaving: true}
+		load := admission.Load{InFlight: 1, Queued: 2, Limit: 3, Slots: 4, ShedFrom: shedFrom, Cold: true, Leaving: true, Superseded: true}
 		text, err := json.Marshal(load)
 		qt.Assert(t, err, qt.IsNil)
 		var back admission.Load
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -29,6 +29,8 @@
 		"wrong type":        {`"extra-attempts": 3`, `"extra-attempts": "3"`, `node.json:64: limits.extra-attempts: must be a whole number`},
 		"fraction":          {`"extra-attempts": 3`, `"extra-attempts": 2.5`, `node.json:64: limits.extra-attempts: must be a whole number`},
 		"out of range":      {`"extra-attempts": 3`, `"extra-attempts": -1`, `node.json:64: limits.extra-attempts: must be between 0 and 100`},
+		"canary share":      {`"extra-attempts": 3`, `"canary-percent": 101`, `node.json:64: limits.canary-percent: must be between 0 and 100`},
+		"rollback at once":  {`"extra-attempts": 3`, `"rollback-ms": 0`, `node.json:64: limits.rollback-ms: must be between 1 and 600000`},
 		"no IP address":     {`"127.0.0.1:7002"`, `"localhost:7002"`, `node.json:16: peer-address: must be an IP address with a port, as in 10.0.0.7:7000`},
 		"missing host":      {`"host": "glocke-a1",`, ``, `node.json:0: host: is required`},
 		"duplicate field":   {`"host": "glocke-a1",`, `"host": "a", "host": "b",`, `node.json:5: host: stands twice`},
