Decide about rollouts by the evidence of the owners

An operator's order moves a service to another version. Entries send a fixed fraction of first attempts to the new version; the owners count responses by route; one of their hosts polls them, tests the counts and stores the result by a conditional write.

--- a/internal/node/catalogue_test.go
+++ b/internal/node/catalogue_test.go
@@ -13,6 +13,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"curranthold.example/curranthold/internal/event"
+	_ "curranthold.example/curranthold/internal/rollout"
 	_ "curranthold.example/curranthold/internal/standin"
 )
 
--- /dev/null
+++ b/internal/rollout/analysis.go
@@ -0,0 +1,277 @@
+package rollout
+
+import (
+	"math"
+)
+
+const (
+	// errorRate bounds the probability that the tests of one kind, over all routes and
+	// parts of the window, take a good version for a bad one (Wald's inequality). With
+	// failures and service times, each tested while the rollout runs and once before
+	// the promotion, the sum is 4 in 10,000.
+	errorRate = 1e-4
+	// remainingErrorRate is the same for the responses without those of the worst
+	// host. A single faulty host would pass the first test alone.
+	remainingErrorRate = 1e-2
+	// failureFloor is the failure rate that every version may have. It lies above the
+	// fault rate of 0.4 % that all backend servers may show.
+	failureFloor = 0.005
+	// quantileDeviations widens an observed rate of the old version by this many
+	// standard deviations before the new one is compared with it.
+	quantileDeviations = 3
+	// slowRateFactor and slowRateMargin allow the new version more slow responses than
+	// the old one, since neighbouring responses of a host tend to be slow together.
+	slowRateFactor = 1.5
+	slowRateMargin = 0.01
+	// maxSlowRate is the largest rate of slow responses of the old version at which
+	// the number of slow responses still tells the versions apart.
+	maxSlowRate = 0.5
+	// minBaselineTimes is the number of service times of the old version on a route
+	// below which its quantiles are not used.
+	minBaselineTimes = 30
+	// warmUpSlices are left out of the comparison of service times. Backend servers
+	// are slow for some seconds after their start.
+	warmUpSlices = 2
+	// soleHostFailures is the number of bad responses of the only host with responses
+	// that suffices although other candidates exist.
+	soleHostFailures = 50
+	// minResponses of the new version suffice for a promotion, at low load
+	// minResponsePart of those that its fraction of the traffic should have given.
+	minResponses    = 20
+	minResponsePart = 0.5
+)
+
+// slowLimit defines slow responses: those that take longer than factor times the
+// quantile of the old version's on the same route.
+type slowLimit struct{ quantile, factor float64 }
+
+// The limit at the median finds versions that are slower as a whole, that at the 90th
+// percentile those of which some responses are.
+var slowLimits = []slowLimit{{0.5, 3}, {0.9, 2}}
+
+// Comparison is the input of the canary analysis.
+type Comparison struct {
+	// Old and New have the evidence of each backend server of both versions.
+	Old, New []Evidence
+	// Candidates is the number of live backend servers of the new version.
+	Candidates int
+	// Fraction is the part of the traffic that the new version gets.
+	Fraction float64
+	// Final is set for the test before a promotion, which needs less evidence against
+	// the new version than those during the rollout, as there is only one.
+	Final bool
+}
+
+// Finding is the result of the canary analysis.
+type Finding struct {
+	// Bad reports whether the new version is bad, and Reason and Route why. Route is
+	// empty if all routes together show it.
+	Bad    bool
+	Reason Reason
+	Route  string
+	// Enough reports whether there is enough evidence for a promotion.
+	Enough bool
+}
+
+// sample is a number of responses of one backend server, some of them bad.
+type sample struct{ responses, bad float64 }
+
+// Analyse compares the responses of two versions.
+func Analyse(c Comparison) Finding {
+	old := merge(c.Old)
+	oldSum := old.sum(0)
+	starts := c.starts()
+	routes := c.routes()
+	tests := len(starts) * (len(routes) + 1)
+	finding := Finding{Enough: c.enough(old)}
+	for _, start := range starts {
+		oldPart, newParts := old.sum(start), sums(c.New, start)
+		if route, bad := c.findFailing(routes, tests, oldSum, oldPart, newParts); bad {
+			return Finding{Bad: true, Reason: ReasonFailures, Route: route, Enough: finding.Enough}
+		}
+		if start < warmUpSlices && !c.Final {
+			continue
+		}
+		timed := sums(c.New, max(start, warmUpSlices))
+		if route, bad := c.findSlow(routes, tests, old.sum(warmUpSlices), timed); bad {
+			return Finding{Bad: true, Reason: ReasonSlow, Route: route, Enough: finding.Enough}
+		}
+	}
+	return finding
+}
+
+// starts returns the slices from which on the responses are tested. The largest ratio
+// over all starts is a cumulative sum (CUSUM).
+func (c Comparison) starts() []int {
+	slices := 0
+	for _, e := range c.New {
+		slices = max(slices, len(e.Slices))
+	}
+	if c.Final {
+		return []int{0, slices / 2}
+	}
+	starts := make([]int, slices)
+	for i := range starts {
+		starts[i] = i
+	}
+	return starts
+}
+
+func (c Comparison) routes() []string {
+	seen := make(map[string]bool)
+	var routes []string
+	for _, e := range c.New {
+		for route := range e.sum(0) {
+			if !seen[route] {
+				seen[route] = true
+				routes = append(routes, route)
+			}
+		}
+	}
+	return routes
+}
+
+func (c Comparison) enough(old Evidence) bool {
+	responses := merge(c.New).total().Responses
+	all := float64(responses + old.total().Responses)
+	return responses > 0 && float64(responses) >= min(minResponses, minResponsePart*c.Fraction*all)
+}
+
+func sums(all []Evidence, from int) []map[string]*Counts {
+	parts := make([]map[string]*Counts, len(all))
+	for i, e := range all {
+		parts[i] = e.sum(from)
+	}
+	return parts
+}
+
+// findFailing tests the failures of each route and of all routes together, which is
+// the route "".
+func (c Comparison) findFailing(routes []string, tests int, oldSum, oldPart map[string]*Counts, newParts []map[string]*Counts) (string, bool) {
+	allowed := func(route string) float64 {
+		return max(failureFloor, upperRate(failureSample(oldSum, route)), upperRate(failureSample(oldPart, route)))
+	}
+	for _, route := range append([]string{""}, routes...) {
+		samples := make([]sample, len(newParts))
+		for i, part := range newParts {
+			samples[i] = failureSample(part, route)
+		}
+		p0 := allowed(route)
+		if c.regressed(samples, p0, []float64{4 * p0, 16 * p0, 0.5, 0.9}, tests) {
+			return route, true
+		}
+	}
+	return "", false
+}
+
+// failureSample returns the responses and failures of a route, or of all if it is "".
+func failureSample(sum map[string]*Counts, route string) sample {
+	var s sample
+	for name, counts := range sum {
+		if route == "" || name == route {
+			s.responses += float64(counts.Responses)
+			s.bad += float64(counts.Failures)
+		}
+	}
+	return s
+}
+
+// findSlow tests the slow responses of each route and of all routes together.
+func (c Comparison) findSlow(routes []string, tests int, old map[string]*Counts, newParts []map[string]*Counts) (string, bool) {
+	for _, limit := range slowLimits {
+		bounds := limit.bounds(old)
+		for _, route := range append([]string{""}, routes...) {
+			samples := make([]sample, len(newParts))
+			for i, part := range newParts {
+				samples[i] = slowSample(part, route, bounds)
+			}
+			baseline := slowSample(old, route, bounds)
+			p0 := slowRateFactor*upperRate(baseline) + slowRateMargin
+			if baseline.responses == 0 || p0 > maxSlowRate {
+				continue
+			}
+			p1 := []float64{p0 + 0.15*(1-p0), p0 + 0.4*(1-p0), p0 + 0.85*(1-p0)}
+			if c.regressed(samples, p0, p1, tests*len(slowLimits)) {
+				return route, true
+			}
+		}
+	}
+	return "", false
+}
+
+// bounds returns the bucket above which responses of a route are slow. Routes for
+// which the old version has too few responses are missing.
+func (l slowLimit) bounds(old map[string]*Counts) map[string]int {
+	bounds := make(map[string]int)
+	for route, counts := range old {
+		if bucket, ok := counts.quantile(l.quantile); ok && counts.timed() >= minBaselineTimes {
+			limit := float64(bucketEnd(bucket)) * l.factor
+			for float64(bucketEnd(bucket)) < limit {
+				bucket++
+			}
+			bounds[route] = bucket
+		}
+	}
+	return bounds
+}
+
+func slowSample(sum map[string]*Counts, route string, bounds map[string]int) sample {
+	var s sample
+	for name, counts := range sum {
+		if bound, ok := bounds[name]; ok && (route == "" || name == route) {
+			s.responses += float64(counts.timed())
+			s.bad += float64(counts.slowerThan(bound))
+		}
+	}
+	return s
+}
+
+// upperRate returns an upper bound of the rate that a sample was drawn with.
+func upperRate(s sample) float64 {
+	if s.responses == 0 {
+		return 0
+	}
+	rate := s.bad / s.responses
+	return rate + quantileDeviations*math.Sqrt(rate*(1-rate)/s.responses)
+}
+
+// regressed reports whether the samples, one for each backend server, show a rate of
+// one of p1 rather than p0, also without the backend server that contributes most.
+func (c Comparison) regressed(samples []sample, p0 float64, p1 []float64, tests int) bool {
+	var all sample
+	worst := sample{}
+	hosts := 0
+	for _, s := range samples {
+		all.responses += s.responses
+		all.bad += s.bad
+		if s.bad > worst.bad {
+			worst = s
+		}
+	}
+	for _, e := range c.New {
+		if e.total().Responses > 0 {
+			hosts++
+		}
+	}
+	if logRatio(all, p0, p1) < math.Log(float64(tests)/errorRate) {
+		return false
+	}
+	if hosts > 1 {
+		rest := sample{all.responses - worst.responses, all.bad - worst.bad}
+		return logRatio(rest, p0, p1) >= math.Log(float64(tests)/remainingErrorRate)
+	}
+	return c.Candidates <= 1 || all.bad >= soleHostFailures
+}
+
+// logRatio returns the logarithm of the likelihood ratio of a sample: an equal mixture
+// of the rates in p1 (bounded below by its largest term) against p0.
+func logRatio(s sample, p0 float64, p1 []float64) float64 {
+	best := 0.0
+	for _, p := range p1 {
+		if p = min(p, 0.95); p > p0 {
+			ratio := s.bad*math.Log(p/p0) + (s.responses-s.bad)*math.Log((1-p)/(1-p0))
+			best = max(best, ratio-math.Log(float64(len(p1))))
+		}
+	}
+	return best
+}
