--- a/internal/rollout/poll.go
+++ b/internal/rollout/poll.go
@@ -160,6 +160,9 @@
 	if r == nil || r.recorder == nil || r.phase.terminal() || r.selfBad || m.version != r.order.Target || !m.candidate(r) {
 		return
 	}
+	if r.baseline.total().Responses == 0 && r.elapsed(now) < silenceTime {
+		return // The first polls bring the responses of the old version.
+	}
 	finding := Analyse(Comparison{
 		Old: []Evidence{r.baseline}, New: []Evidence{r.recorder.snapshot()},
 		Candidates: 1, Fraction: m.fraction(),
--- a/internal/rollout/view.go
+++ b/internal/rollout/view.go
@@ -23,7 +23,9 @@
 	candidate bool
 	// leavingFrom is when the own backend server stops taking calls; zero if never.
 	leavingFrom time.Time
-	// supersededUntil is until when calls are refused in favour of the candidates.
+	// superseded is set if another version has replaced the own one, and
+	// supersededUntil is until when a promotion moves calls to the candidates.
+	superseded      bool
 	supersededUntil time.Time
 }
 
@@ -48,12 +50,16 @@
 		r.recorder.setStart(r.since, m.ownCold())
 		v.recorder = r.recorder
 	}
-	if v.candidate {
+	replaced := r != nil && r.phase == PhaseCompleted && v.candidate
+	switch {
+	case replaced:
+		v.superseded = true
+	case v.candidate:
 		v.leavingFrom = m.leavingFrom(r, now)
-	} else if r != nil && r.phase == PhasePromoting && m.version != r.order.Target {
+	case r != nil && r.phase == PhasePromoting && m.version != r.order.Target:
 		v.supersededUntil = r.heard.Add(silenceTime)
 	}
-	m.logNotOrdered(v.candidate && (r == nil || r.withdrawn || m.version != r.order.Target))
+	m.logNotOrdered(v.candidate && !replaced && (r == nil || r.withdrawn || m.version != r.order.Target))
 	if len(v.shares) == 0 && v.recorder == nil && !v.candidate {
 		return nil
 	}
@@ -176,7 +182,7 @@
 		metricNotCandidate.Add(1)
 		return true, false
 	}
-	if now.Before(v.supersededUntil) {
+	if v.superseded || now.Before(v.supersededUntil) {
 		metricSuperseded.Add(1)
 		return false, true
 	}
