--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -86,9 +86,9 @@
 type snapshot struct {
 	services map[string]*service
 	states   map[string]*state
-	// candidates holds, by the ID of each host of a service with candidates, that
-	// service's candidates. It is nil if no service has any.
-	candidates map[string]*candidates
+	// versioned holds the hosts of services with candidates by ID. It is nil if no
+	// service has any.
+	versioned map[string]versionedHost
 }
 
 // Balancer chooses hosts. Its methods may be called concurrently.
@@ -98,9 +98,8 @@
 
 	mu    sync.Mutex
 	zones map[string]*zone
-	// superseded holds, by service with candidates, until when its calls go to the
-	// candidates, in Unix nanoseconds.
-	superseded map[string]*atomic.Int64
+	// superseded holds, by service with candidates, the version that its calls avoid.
+	superseded map[string]*superseded
 }
 
 // New returns a Balancer that knows no hosts.
@@ -352,8 +351,10 @@
 	if s := snapshot.states[hostID]; s != nil {
 		s.observe(l, now.UnixNano())
 	}
-	if c := snapshot.candidates[hostID]; c != nil && l.Superseded {
-		c.supersede(now.UnixNano())
+	if l.Superseded {
+		if h, ok := snapshot.versioned[hostID]; ok {
+			h.supersede(now.UnixNano())
+		}
 	}
 }
 
--- a/internal/balance/candidate.go
+++ b/internal/balance/candidate.go
@@ -14,9 +14,9 @@
 )
 
 const (
-	// supersededTime is how long the calls of a service go to its candidates after a
-	// host's hint that its traffic moves there. It is longer than the membership takes
-	// to say that the candidates' version is in force, after which no hints may come.
+	// supersededTime is how long the calls of a service avoid a version after a host's
+	// hint that its traffic moves to another one. It is longer than the membership takes
+	// to say that the other version is in force, after which no hints may come.
 	supersededTime = 5 * time.Second
 	// activeTime is how long the same candidates are used. All entry nodes use the same
 	// ones, as far as their clocks and members agree.
@@ -29,13 +29,24 @@
 	fraction float64
 	members  []member
 	zones    map[string]*zone
-	// successors holds the candidates, and the other hosts that have the same version
-	// as one, since the membership may learn one by one that a version is in force.
-	successors *service
-	// supersededUntil is until when the service's calls go to the successors, in Unix
-	// nanoseconds.
-	supersededUntil *atomic.Int64
-	active          atomic.Pointer[active]
+	// others holds, by version, all hosts of the service that have another one, the
+	// candidates included. The membership may learn one by one which are in force.
+	others     map[string]*service
+	superseded *superseded
+	active     atomic.Pointer[active]
+}
+
+// superseded is the version of a service that its calls avoid until a time in Unix
+// nanoseconds. It outlives snapshots.
+type superseded struct {
+	until   atomic.Int64
+	version atomic.Pointer[string]
+}
+
+// versionedHost is a host of a service with candidates.
+type versionedHost struct {
+	candidates *candidates
+	version    string
 }
 
 // active holds the candidates that are used during one activeTime.
@@ -46,42 +57,38 @@
 
 // addWithCandidates adds a service with candidates to the snapshot.
 func (b *Balancer) addWithCandidates(next *snapshot, name string, hosts []Host) {
-	c := &candidates{
-		fraction: b.config.CandidateFraction, zones: make(map[string]*zone), supersededUntil: b.superseded[name],
+	if b.superseded == nil {
+		b.superseded = make(map[string]*superseded)
+	}
+	if b.superseded[name] == nil {
+		b.superseded[name] = new(superseded)
 	}
-	if c.supersededUntil == nil {
-		c.supersededUntil = new(atomic.Int64)
+	if next.versioned == nil {
+		next.versioned = make(map[string]versionedHost)
 	}
-	if next.candidates == nil {
-		next.candidates = make(map[string]*candidates)
+	c := &candidates{
+		fraction: b.config.CandidateFraction, superseded: b.superseded[name],
+		zones: make(map[string]*zone), others: make(map[string]*service),
 	}
-	versions := make(map[string]bool)
-	var others, successors []Host
+	var inForce []Host
 	for _, h := range hosts {
-		next.candidates[h.ID] = c
-		if !h.Candidate {
-			others = append(others, h)
-			continue
-		}
-		versions[h.Version] = true
-		if !h.Leaving {
+		next.versioned[h.ID] = versionedHost{c, h.Version}
+		c.others[h.Version] = nil
+		switch {
+		case !h.Candidate:
+			inForce = append(inForce, h)
+		case !h.Leaving:
 			c.members = append(c.members, member{host: h, state: b.reuseState(h.ID, next.states)})
 			c.zones[h.Zone] = b.zone(h.Zone)
 		}
 	}
-	for _, h := range hosts {
-		if h.Candidate || versions[h.Version] {
-			successors = append(successors, h)
-		}
+	for version := range c.others {
+		others := slices.DeleteFunc(slices.Clone(hosts), func(h Host) bool { return h.Version == version })
+		c.others[version] = b.newService(others, next.states)
 	}
-	c.successors = b.newService(successors, next.states)
-	s := b.newService(others, next.states)
+	s := b.newService(inForce, next.states)
 	s.candidates = c
 	next.services[name] = s
-	if b.superseded == nil {
-		b.superseded = make(map[string]*atomic.Int64)
-	}
-	b.superseded[name] = c.supersededUntil
 }
 
 // forgetSuperseded forgets the services that no longer have candidates.
@@ -93,17 +100,30 @@
 	}
 }
 
-// supersede makes the service's calls go to the successors for some time.
-func (c *candidates) supersede(now int64) {
-	c.supersededUntil.Store(now + int64(supersededTime))
+// supersede makes the service's calls avoid the host's version for some time.
+func (h versionedHost) supersede(now int64) {
+	s := h.candidates.superseded
+	if known := s.version.Load(); known == nil || *known != h.version {
+		s.version.Store(&h.version)
+	}
+	s.until.Store(now + int64(supersededTime))
+}
+
+// successors returns the hosts of the versions to which the service's traffic moves, nil
+// if it does not move.
+func (c *candidates) successors(now int64) *service {
+	if now >= c.superseded.until.Load() {
+		return nil
+	}
+	return c.others[*c.superseded.version.Load()]
 }
 
-// chooseCandidate returns a candidate for the request if it asks for one, and a successor
-// while the service's traffic moves there. Decided is false if the request has to go to
+// chooseCandidate returns a candidate for the request if it asks for one, and a host of
+// the version to which the service's traffic moves while it does. Decided is false if the request has to go to
 // another host.
 func (b *Balancer) chooseCandidate(c *candidates, r *Request, now int64) (host Host, decided bool, err error) {
-	if now < c.supersededUntil.Load() {
-		host, err := b.chooseFrom(c.successors, r, now)
+	if successors := c.successors(now); successors != nil {
+		host, err := b.chooseFrom(successors, r, now)
 		// The other hosts refuse calls too, so that a refusal because of load is final.
 		return host, err == nil || verdict.From(err).Code == verdict.Overloaded, err
 	}
--- a/internal/balance/candidate_test.go
+++ b/internal/balance/candidate_test.go
@@ -64,6 +64,24 @@
 			prepare: func(f *fixture) { f.Observe("a1", superseded, f.now) },
 			want:    map[string]int{"a3": 100},
 		},
+		"superseded, old ones not in force already": {
+			hosts: []balance.Host{
+				{ID: "a1", Zone: "a", Slots: 100, Candidate: true},
+				host("a3", "a"),
+				{ID: "b2", Zone: "b", Slots: 100, Version: "v2"},
+				candidate("b4", "b"),
+			},
+			prepare: func(f *fixture) {
+				f.Observe("a1", superseded, f.now)
+				f.Observe("b4", full, f.now)
+			},
+			want: map[string]int{"b2": 100},
+		},
+		"superseded candidate": {
+			hosts:   []balance.Host{{ID: "a1", Zone: "a", Slots: 100, Candidate: true}, {ID: "a2", Zone: "a", Slots: 100, Version: "v2"}},
+			prepare: func(f *fixture) { f.Observe("a1", superseded, f.now) },
+			request: asks, want: map[string]int{"a2": 100},
+		},
 		"superseded, but the candidate refuses": {
 			hosts: []balance.Host{host("a1", "a"), candidate("a2", "a")},
 			prepare: func(f *fixture) {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -62,12 +62,12 @@
 	tally     *tally.Manager
 	admission *admission.Controller
 	balancer  *balance.Balancer
-	// rollout and records are nil if the settings disable rollouts. All methods of a nil
-	// Manager work.
-	rollout *rollout.Manager
-	records *rolloutRecords
-	owner   *owner.Owner
-	entry   *entry.Entry
+	// rollout, records and versions are nil if the settings disable rollouts.
+	rollout  *rollout.Manager
+	records  *rolloutRecords
+	versions *versionGate
+	owner    *owner.Owner
+	entry    *entry.Entry
 	// leaving holds the hosts that have announced that they are leaving. Only the
 	// membership's callback uses it.
 	leaving map[string]bool
@@ -187,7 +187,7 @@
 		IdleTimeout:     n.settings.IdleTimeout(),
 	}
 	if n.rollout != nil {
-		ownerConfig.Rollout = n.rollout
+		ownerConfig.Rollout = n.versions
 	}
 	var err error
 	if n.owner, err = owner.New(ownerConfig); err != nil {
--- a/internal/node/rollout.go
+++ b/internal/node/rollout.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"sync/atomic"
 	"time"
 
 	"curranthold.example/curranthold/internal/configuration"
@@ -29,8 +30,30 @@
 	// candidateInterval is the time between two checks whether the version of the backend
 	// server on this host is in force.
 	candidateInterval = 200 * time.Millisecond
+	// settleTime is how long, at most, a node that has started waits until it knows the
+	// backend servers of most hosts before its own counts as one of the version in force.
+	// Heartbeats come at intervals of up to 1.5 s.
+	settleTime = 3 * time.Second
+	// settledFraction is the fraction of the hosts in the directory that are enough. The
+	// directory may list some that have ended.
+	settledFraction = 0.9
 )
 
+// versionGate is what the owner asks about the version of the backend server. Until the
+// node knows most hosts, it can't tell which version is in force, and takes the backend
+// server's for one that is not: otherwise a new version could run calls without an order.
+type versionGate struct {
+	*rollout.Manager
+	settled atomic.Bool
+	// versioned is set if the backend server states a version.
+	versioned atomic.Bool
+}
+
+// IsCandidate implements owner.Rollout.
+func (g *versionGate) IsCandidate() bool {
+	return g != nil && (g.Manager.IsCandidate() || (g.versioned.Load() && !g.settled.Load()))
+}
+
 // buildRollout builds the manager of rollouts. It stays nil if the settings disable them.
 func (n *Node) buildRollout() {
 	limits := n.settings.Limits
@@ -43,6 +66,7 @@
 		MaxShare: n.canaryShare(), Slack: limits.CanarySlack, RollbackTime: n.settings.RollbackTime(),
 		Running: func() int { return n.admission.Load().InFlight },
 	})
+	n.versions = &versionGate{Manager: n.rollout}
 }
 
 // canaryShare returns the bound on a bad version's share of the requests.
@@ -50,9 +74,12 @@
 
 // announceBackend announces the backend server on this host to the other nodes.
 func (n *Node) announceBackend(a owner.Announcement) {
-	n.rollout.SetBackend(a.Service, a.Version)
+	if n.rollout != nil {
+		n.versions.versioned.Store(a.Version != "")
+		n.rollout.SetBackend(a.Service, a.Version)
+	}
 	n.members.Announce(membership.Backend{
-		Service: a.Service, Version: a.Version, Slots: a.Slots, Cold: a.Cold, Candidate: n.rollout.IsCandidate(),
+		Service: a.Service, Version: a.Version, Slots: a.Slots, Cold: a.Cold, Candidate: n.versions.IsCandidate(),
 	})
 }
 
@@ -61,12 +88,12 @@
 func (n *Node) announceCandidate(ctx context.Context) {
 	ticker := time.NewTicker(candidateInterval)
 	defer ticker.Stop()
-	announced := false
+	started := time.Now()
 	for {
-		if candidate := n.rollout.IsCandidate(); candidate != announced {
-			n.members.SetCandidate(candidate)
-			announced = candidate
+		if !n.versions.settled.Load() && (n.knowsMostBackends() || time.Since(started) >= settleTime) {
+			n.versions.settled.Store(true)
 		}
+		n.members.SetCandidate(n.versions.IsCandidate())
 		select {
 		case <-ctx.Done():
 			return
@@ -75,6 +102,18 @@
 	}
 }
 
+// knowsMostBackends reports whether most of the hosts in the directory are known to have a
+// backend server.
+func (n *Node) knowsMostBackends() bool {
+	known := 0
+	for _, m := range n.members.Members() {
+		if m.Service != "" {
+			known++
+		}
+	}
+	return float64(known) >= settledFraction*float64(n.members.ExpectedHosts())
+}
+
 // applyOrders passes the orders of rollouts to the manager.
 func (n *Node) applyOrders(s *configuration.Snapshot) {
 	if n.rollout == nil {
@@ -134,14 +173,18 @@
 	return version, !ordered || spec.Target == version
 }
 
-// RolloutStatus implements resource.Rollouts. The phase is that of the record in the
-// table, unless this host knows of a later order.
+// RolloutStatus implements resource.Rollouts. Unless this host knows how the rollout ended,
+// the state is that of the record in the table: hosts of other services aren't told.
 func (n *Node) RolloutStatus(ctx context.Context, service string) (client.Rollout, bool, error) {
 	local, known := n.rollout.Status(service)
 	record, _, stored, err := n.records.Load(ctx, service)
 	if err != nil && !known {
 		return client.Rollout{}, false, err
 	}
+	o, ordered := n.configuration.Snapshot().Object(object.ID{Kind: object.KindRollout, Name: service})
+	if ordered && record.Order != o.ResourceVersion {
+		stored = false // It is the record of an earlier order.
+	}
 	status := client.Rollout{Service: service}
 	if known {
 		status.Target, status.State = local.Target, string(local.State)
@@ -149,12 +192,13 @@
 		status.ElapsedMs = local.Elapsed.Milliseconds()
 		status.Old, status.New = versionTotals(local.Old), versionTotals(local.New)
 	}
-	if err == nil && stored && (!known || record.Target == local.Target) {
+	ended := stored && stateOf(record.Phase) != rollout.StateRunning
+	if stored && !known || ended && local.State == rollout.StateRunning {
 		status.Target, status.Phase = record.Target, string(record.Phase)
 		status.State, status.Reason = string(stateOf(record.Phase)), string(record.Reason)
 	}
-	if known || stored {
-		return status, true, nil
+	if known || stored || ordered {
+		return status, known || stored, nil
 	}
 	return n.records.published(ctx, service)
 }
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -70,6 +70,8 @@
 	answer     *call.Answer
 	permit     *admission.Permit
 	parent     *Parent
+	// leaving and superseded are what the rollout last said about new calls.
+	leaving, superseded bool
 }
 
 // Owner handles the calls for the backend server on its host.
@@ -133,7 +135,7 @@
 	answer.ID = request.ID
 	defer answer.Seal()
 	err := o.handler(ctx, c)
-	answer.Load = o.load()
+	answer.Load = o.load(c)
 	answer.ExtraAttempts = request.ExtraAttempts
 	if c.parent != nil {
 		answer.ExtraAttempts = c.parent.close()
--- a/internal/owner/rollout.go
+++ b/internal/owner/rollout.go
@@ -39,11 +39,11 @@
 	if o.config.Rollout == nil {
 		return nil
 	}
-	leaving, superseded := o.config.Rollout.Refusal()
+	c.leaving, c.superseded = o.config.Rollout.Refusal()
 	switch {
-	case leaving:
+	case c.leaving:
 		return verdict.New(verdict.NotRun, verdict.Leaving, "the version of this backend server is not in use")
-	case superseded:
+	case c.superseded:
 		return verdict.New(verdict.NotRun, verdict.Leaving, "the calls of %s move to another version", c.request.Service)
 	case !c.request.Candidate && o.config.Rollout.IsCandidate():
 		return verdict.New(verdict.NotRun, verdict.Leaving, "the version of this backend server is not in force")
@@ -51,13 +51,16 @@
 	return nil
 }
 
-// load returns the load hint for an answer.
-func (o *Owner) load() admission.Load {
+// load returns the load hint for the answer to a call. It does not ask the rollout again
+// about a call that it refused, because it counts what it refuses.
+func (o *Owner) load(c *activeCall) admission.Load {
 	l := o.config.Admission.Load()
 	if o.config.Rollout != nil {
-		leaving, superseded := o.config.Rollout.Refusal()
-		l.Leaving = l.Leaving || leaving
-		l.Superseded = superseded
+		if !c.leaving && !c.superseded {
+			c.leaving, c.superseded = o.config.Rollout.Refusal()
+		}
+		l.Leaving = l.Leaving || c.leaving
+		l.Superseded = c.superseded
 	}
 	return l
 }
