Test the rollout command and its refusals

The test runs start, status and cancel against the resource API with states that it sets, and checks exit statuses and texts, also where the settings disable rollouts.

--- a/cmd/curranthold/main_test.go
+++ b/cmd/curranthold/main_test.go
@@ -46,21 +46,29 @@
 type commandTest struct {
 	t     *testing.T
 	table *memoryTable
-	url   string
+	// rollouts has the states of rollouts, nil if the settings disable them.
+	rollouts *fakeRollouts
+	url      string
 }
 
-func newCommandTest(t *testing.T) *commandTest {
-	ct := &commandTest{t: t, table: &memoryTable{Table: standin.NewTable()}}
+func newCommandTest(t *testing.T) *commandTest { return newCommandTestWith(t, new(fakeRollouts)) }
+
+func newCommandTestWith(t *testing.T, rollouts *fakeRollouts) *commandTest {
+	ct := &commandTest{t: t, table: &memoryTable{Table: standin.NewTable()}, rollouts: rollouts}
 	replica := configuration.New(configuration.Config{Host: "h1", Zone: "zone-a", Table: ct.table, Peers: noPeers{}})
 	replica.SetHosts([]configuration.Host{{ID: "h1", Zone: "zone-a", Address: "h1"}})
 	go func() { _ = replica.Run(context.Background()) }()
 	t.Cleanup(func() { qt.Check(t, replica.Close(), qt.IsNil) })
 	<-replica.Ready()
 	sum := sha256.Sum256([]byte(token))
-	server := httptest.NewServer(resource.New(resource.Config{
+	config := resource.Config{
 		Host: "h1", Zone: "zone-a", Configuration: replica, Table: ct.table,
 		Operators: map[string]string{hex.EncodeToString(sum[:]): "anna"},
-	}))
+	}
+	if rollouts != nil {
+		config.Rollouts = rollouts
+	}
+	server := httptest.NewServer(resource.New(config))
 	t.Cleanup(server.Close)
 	ct.url = server.URL
 	return ct
