--- a/internal/rollout/analysis.go
+++ b/internal/rollout/analysis.go
@@ -6,19 +6,22 @@
 
 const (
 	// errorRate bounds the probability that the tests of one kind, over all routes and
-	// parts of the window, take a good version for a bad one (Wald's inequality). With
-	// failures and service times, each tested while the rollout runs and once before
-	// the promotion, the sum is 4 in 10,000.
-	errorRate = 1e-4
+	// parts of the window, take a good version for a bad one while the rollout runs
+	// (Wald's inequality). finalErrorRate is that of failures in the test before a
+	// promotion. Slow responses of a host come together, so their threshold stays.
+	// The inequality overstates the rate several times for tests that aren't repeated
+	// and versions below failureFloor; TestFalsePositives measures the sum.
+	errorRate      = 1e-4
+	finalErrorRate = 1e-3
 	// remainingErrorRate is the same for the responses without those of the worst
 	// host. A single faulty host would pass the first test alone.
 	remainingErrorRate = 1e-2
 	// failureFloor is the failure rate that every version may have. It lies above the
 	// fault rate of 0.4 % that all backend servers may show.
 	failureFloor = 0.005
-	// quantileDeviations widens an observed rate of the old version by this many
+	// rateDeviations widens an observed rate of the old version by this many
 	// standard deviations before the new one is compared with it.
-	quantileDeviations = 3
+	rateDeviations = 2
 	// slowRateFactor and slowRateMargin allow the new version more slow responses than
 	// the old one, since neighbouring responses of a host tend to be slow together.
 	slowRateFactor = 1.5
@@ -32,6 +35,10 @@
 	// warmUpSlices are left out of the comparison of service times. Backend servers
 	// are slow for some seconds after their start.
 	warmUpSlices = 2
+	// minSlowSlices is the number of slices over which service times are compared at
+	// least. With one slice, a host that was slow for 600 ms was taken for a regression
+	// in 2 of 3,000 rollouts of good versions.
+	minSlowSlices = 3
 	// soleHostFailures is the number of bad responses of the only host with responses
 	// that suffices although other candidates exist.
 	soleHostFailures = 50
@@ -76,45 +83,52 @@
 // sample is a number of responses of one backend server, some of them bad.
 type sample struct{ responses, bad float64 }
 
-// Analyse compares the responses of two versions.
+// Analyse compares the responses of two versions. It tests those since the beginning of
+// each part of the window; the largest ratio over these is a cumulative sum (CUSUM).
 func Analyse(c Comparison) Finding {
 	old := merge(c.Old)
-	oldSum := old.sum(0)
-	starts := c.starts()
-	routes := c.routes()
-	tests := len(starts) * (len(routes) + 1)
+	t := tester{Comparison: c, routes: c.routes(), oldSum: old.sum(0), oldTimed: old.sum(warmUpSlices)}
+	slices := 0
+	for _, e := range c.New {
+		slices = max(slices, len(e.Slices))
+		if e.total().Responses > 0 {
+			t.hosts++
+		}
+	}
+	t.tests = float64(slices * (len(t.routes) + 1))
 	finding := Finding{Enough: c.enough(old)}
-	for _, start := range starts {
-		oldPart, newParts := old.sum(start), sums(c.New, start)
-		if route, bad := c.findFailing(routes, tests, oldSum, oldPart, newParts); bad {
+	oldPart := make(map[string]*Counts)
+	newParts := make([]map[string]*Counts, len(c.New))
+	for i := range newParts {
+		newParts[i] = make(map[string]*Counts)
+	}
+	for start := slices - 1; start >= 0; start-- {
+		old.addSlice(oldPart, start)
+		for i, e := range c.New {
+			e.addSlice(newParts[i], start)
+		}
+		if route, bad := t.findFailing(oldPart, newParts); bad {
 			return Finding{Bad: true, Reason: ReasonFailures, Route: route, Enough: finding.Enough}
 		}
-		if start < warmUpSlices && !c.Final {
+		if start < warmUpSlices || slices-start < minSlowSlices {
 			continue
 		}
-		timed := sums(c.New, max(start, warmUpSlices))
-		if route, bad := c.findSlow(routes, tests, old.sum(warmUpSlices), timed); bad {
+		if route, bad := t.findSlow(newParts); bad {
 			return Finding{Bad: true, Reason: ReasonSlow, Route: route, Enough: finding.Enough}
 		}
 	}
 	return finding
 }
 
-// starts returns the slices from which on the responses are tested. The largest ratio
-// over all starts is a cumulative sum (CUSUM).
-func (c Comparison) starts() []int {
-	slices := 0
-	for _, e := range c.New {
-		slices = max(slices, len(e.Slices))
-	}
-	if c.Final {
-		return []int{0, slices / 2}
-	}
-	starts := make([]int, slices)
-	for i := range starts {
-		starts[i] = i
-	}
-	return starts
+// tester holds what all tests of one analysis have in common.
+type tester struct {
+	Comparison
+	routes []string
+	// tests is the number of tests of each kind.
+	tests float64
+	// hosts is the number of backend servers of the new version with responses.
+	hosts            int
+	oldSum, oldTimed map[string]*Counts
 }
 
 func (c Comparison) routes() []string {
@@ -137,27 +151,23 @@
 	return responses > 0 && float64(responses) >= min(minResponses, minResponsePart*c.Fraction*all)
 }
 
-func sums(all []Evidence, from int) []map[string]*Counts {
-	parts := make([]map[string]*Counts, len(all))
-	for i, e := range all {
-		parts[i] = e.sum(from)
-	}
-	return parts
-}
-
 // findFailing tests the failures of each route and of all routes together, which is
 // the route "".
-func (c Comparison) findFailing(routes []string, tests int, oldSum, oldPart map[string]*Counts, newParts []map[string]*Counts) (string, bool) {
+func (t *tester) findFailing(oldPart map[string]*Counts, newParts []map[string]*Counts) (string, bool) {
 	allowed := func(route string) float64 {
-		return max(failureFloor, upperRate(failureSample(oldSum, route)), upperRate(failureSample(oldPart, route)))
+		return max(failureFloor, upperRate(failureSample(t.oldSum, route)), upperRate(failureSample(oldPart, route)))
 	}
-	for _, route := range append([]string{""}, routes...) {
+	tests := t.tests
+	if t.Final {
+		tests *= errorRate / finalErrorRate
+	}
+	for _, route := range append([]string{""}, t.routes...) {
 		samples := make([]sample, len(newParts))
 		for i, part := range newParts {
 			samples[i] = failureSample(part, route)
 		}
 		p0 := allowed(route)
-		if c.regressed(samples, p0, []float64{4 * p0, 16 * p0, 0.5, 0.9}, tests) {
+		if t.regressed(samples, p0, []float64{4 * p0, 16 * p0, 0.5, 0.9}, tests) {
 			return route, true
 		}
 	}
@@ -177,21 +187,21 @@
 }
 
 // findSlow tests the slow responses of each route and of all routes together.
-func (c Comparison) findSlow(routes []string, tests int, old map[string]*Counts, newParts []map[string]*Counts) (string, bool) {
+func (t *tester) findSlow(newParts []map[string]*Counts) (string, bool) {
 	for _, limit := range slowLimits {
-		bounds := limit.bounds(old)
-		for _, route := range append([]string{""}, routes...) {
+		bounds := limit.bounds(t.oldTimed)
+		for _, route := range append([]string{""}, t.routes...) {
 			samples := make([]sample, len(newParts))
 			for i, part := range newParts {
 				samples[i] = slowSample(part, route, bounds)
 			}
-			baseline := slowSample(old, route, bounds)
+			baseline := slowSample(t.oldTimed, route, bounds)
 			p0 := slowRateFactor*upperRate(baseline) + slowRateMargin
 			if baseline.responses == 0 || p0 > maxSlowRate {
 				continue
 			}
 			p1 := []float64{p0 + 0.15*(1-p0), p0 + 0.4*(1-p0), p0 + 0.85*(1-p0)}
-			if c.regressed(samples, p0, p1, tests*len(slowLimits)) {
+			if t.regressed(samples, p0, p1, t.tests*float64(len(slowLimits))) {
 				return route, true
 			}
 		}
@@ -232,15 +242,14 @@
 		return 0
 	}
 	rate := s.bad / s.responses
-	return rate + quantileDeviations*math.Sqrt(rate*(1-rate)/s.responses)
+	return rate + rateDeviations*math.Sqrt(rate*(1-rate)/s.responses)
 }
 
 // regressed reports whether the samples, one for each backend server, show a rate of
 // one of p1 rather than p0, also without the backend server that contributes most.
-func (c Comparison) regressed(samples []sample, p0 float64, p1 []float64, tests int) bool {
+func (t *tester) regressed(samples []sample, p0 float64, p1 []float64, tests float64) bool {
 	var all sample
 	worst := sample{}
-	hosts := 0
 	for _, s := range samples {
 		all.responses += s.responses
 		all.bad += s.bad
@@ -248,19 +257,14 @@
 			worst = s
 		}
 	}
-	for _, e := range c.New {
-		if e.total().Responses > 0 {
-			hosts++
-		}
-	}
-	if logRatio(all, p0, p1) < math.Log(float64(tests)/errorRate) {
+	if logRatio(all, p0, p1) < math.Log(tests/errorRate) {
 		return false
 	}
-	if hosts > 1 {
+	if t.hosts > 1 {
 		rest := sample{all.responses - worst.responses, all.bad - worst.bad}
-		return logRatio(rest, p0, p1) >= math.Log(float64(tests)/remainingErrorRate)
+		return logRatio(rest, p0, p1) >= math.Log(tests/remainingErrorRate)
 	}
-	return c.Candidates <= 1 || all.bad >= soleHostFailures
+	return t.Candidates <= 1 || all.bad >= soleHostFailures
 }
 
 // logRatio returns the logarithm of the likelihood ratio of a sample: an equal mixture
--- a/internal/rollout/decide.go
+++ b/internal/rollout/decide.go
@@ -5,31 +5,16 @@
 	"slices"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/sourcegraph/conc"
 
 	"curranthold.example/curranthold/internal/event"
 )
 
 const (
-	// pollInterval is the time between two polls of the owners. A bad version gets
-	// requests for at most this time and the time of a poll after its evidence
-	// suffices, a small part of the time allowed for a rollback.
-	pollInterval = 500 * time.Millisecond
-	// minPollInterval is the shortest time between two polls, used in promotions,
-	// which have promotionPolls of them.
-	minPollInterval = 20 * time.Millisecond
-	promotionPolls  = 12
-	// minPollTime is the shortest time that a decider waits for replies.
-	minPollTime = 50 * time.Millisecond
 	// tickInterval is how often Run looks for what is due while a rollout runs.
 	tickInterval = 20 * time.Millisecond
 	// selfInterval is how often a candidate evaluates itself.
 	selfInterval = 100 * time.Millisecond
-	// takeoverTime is how long a decider may be silent before the host that follows
-	// it takes over; each further host waits as long again. It is longer than two
-	// intervals, so that one lost poll doesn't change the decider.
-	takeoverTime = 1200 * time.Millisecond
 	// inForceTime is how long all hosts must announce the target of an order without
 	// a record before it is taken to be in force. Membership may be incomplete before.
 	inForceTime = time.Second
@@ -51,6 +36,9 @@
 	wantComplete bool
 	// announced is set once all live owners know the terminal phase.
 	announced bool
+	// silent has the hosts that didn't reply to the last poll, and the decider before
+	// this one.
+	silent map[string]bool
 }
 
 // hostEvidence is the evidence of one host. Earlier is that from before its node was
@@ -68,54 +56,6 @@
 	h.current = e
 }
 
-// hostIDs returns the hosts of a service in the order of their IDs.
-func hostIDs(hosts []Host, service string) []string {
-	var ids []string
-	for _, h := range hosts {
-		if h.Service == service {
-			ids = append(ids, h.ID)
-		}
-	}
-	slices.Sort(ids)
-	return ids
-}
-
-// rank returns this host's place in the rendezvous order of the hosts that may decide,
-// and false if it isn't among them. If the service has no host, all hosts may.
-func (m *Manager) rank(r *rollout) (int, bool) {
-	score := func(id string) uint64 {
-		return xxhash.Sum64String(r.order.Service + "\x00" + r.order.Target + "\x00" + id)
-	}
-	rank, member, everyone := 0, false, m.unknownService(r)
-	for _, h := range m.hosts {
-		switch {
-		case h.Service != r.order.Service && !everyone:
-		case h.ID == m.config.Host:
-			member = true
-		case score(h.ID) < score(m.config.Host):
-			rank++
-		}
-	}
-	return rank, member
-}
-
-// unknownService reports whether the service of a rollout has no host.
-func (m *Manager) unknownService(r *rollout) bool {
-	return !slices.ContainsFunc(m.hosts, func(h Host) bool { return h.Service == r.order.Service })
-}
-
-// decides reports whether this host is to decide about a rollout now.
-func (m *Manager) decides(r *rollout, now time.Time) bool {
-	if r.phase.terminal() && r.decision.announced && r.storage.settled {
-		return false
-	}
-	rank, member := m.rank(r)
-	if rank > 0 && m.unknownService(r) {
-		return false // There are no polls by which the next host could tell a silent decider.
-	}
-	return member && now.Sub(r.lastPoll) >= time.Duration(rank)*takeoverTime
-}
-
 // Run decides about rollouts until the context ends.
 func (m *Manager) Run(ctx context.Context) error {
 	if m.disabled() {
@@ -187,6 +127,7 @@
 		return
 	}
 	r.decision.taken = true
+	r.decision.silent = map[string]bool{r.lastDecider: true}
 	fields := event.Fields{"service": r.order.Service, "target": r.order.Target, "order": r.order.ID}
 	if rank, _ := m.rank(r); rank > 0 {
 		metricTakeovers.Add(1)
@@ -203,17 +144,16 @@
 	hosts := slices.DeleteFunc(slices.Clone(m.hosts), func(h Host) bool { return h.Service != r.order.Service })
 	args := PollArgs{
 		Order: r.order.ID, Phase: r.phase, Reason: r.reason, Base: r.base, Service: r.order.Service,
-		Settled: r.phase.terminal() && r.storage.settled, Baseline: r.decision.baseline(r.order.Target),
+		Begun: r.storage.begun, Decider: m.config.Host, Settled: r.phase.terminal() && r.storage.settled, Baseline: r.decision.baseline(r.order.Target),
 	}
 	if !r.fresh {
 		args.Elapsed = r.elapsed(now)
 	}
 	r.baseline, r.heard = args.Baseline, now
+	silent := r.decision.silent
 	m.mu.Unlock()
 
-	// A promotion has time for several polls, also if some hosts don't reply.
-	timeout := min(maxPollTime, max(m.promotionTime(r.order.Over)/4, minPollTime))
-	replies := m.poll(ctx, args, hosts, timeout)
+	replies := m.poll(ctx, args, hosts, m.pollTimeout(r), silent)
 
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -227,6 +167,10 @@
 		m.decide(r, replies, now)
 	}
 	r.decision.rounds++
+	r.decision.silent = make(map[string]bool)
+	for _, p := range replies {
+		r.decision.silent[p.host.ID] = !p.replied && p.host.ID != m.config.Host
+	}
 	known := !slices.ContainsFunc(replies, func(p polled) bool {
 		return p.host.ID != m.config.Host && (!p.replied || p.ok && p.reply.Phase != r.phase)
 	})
@@ -238,19 +182,6 @@
 	m.refresh(now)
 }
 
-// interval returns the time until the next poll.
-func (m *Manager) interval(r *rollout, now time.Time) time.Duration {
-	window := m.promotionTime(r.order.Over)
-	left := r.order.Over - window - r.elapsed(now)
-	switch {
-	case r.phase.terminal(), left > pollInterval:
-		return pollInterval
-	case left > 0:
-		return max(left, minPollInterval)
-	}
-	return min(max(window/promotionPolls, minPollInterval), pollInterval)
-}
-
 // adopt takes over what the owners know.
 func (m *Manager) adopt(r *rollout, replies []polled, now time.Time) {
 	if r.decision.evidence == nil {
--- a/internal/rollout/evidence.go
+++ b/internal/rollout/evidence.go
@@ -56,8 +56,8 @@
 	c.Responses += other.Responses
 	c.Failures += other.Failures
 	c.Busy += other.Busy
-	for len(c.Times) < len(other.Times) {
-		c.Times = append(c.Times, 0)
+	if missing := len(other.Times) - len(c.Times); missing > 0 {
+		c.Times = append(c.Times, make([]uint64, missing)...)
 	}
 	for i, n := range other.Times {
 		c.Times[i] += n
@@ -103,16 +103,24 @@
 	return n
 }
 
+// addSlice adds the counts of one slice to sums by route.
+func (e Evidence) addSlice(sums map[string]*Counts, slice int) {
+	if slice >= len(e.Slices) {
+		return
+	}
+	for route, counts := range e.Slices[slice] {
+		if sums[route] == nil {
+			sums[route] = &Counts{}
+		}
+		sums[route].add(counts)
+	}
+}
+
 // sum returns the counts by route from the given slice on.
 func (e Evidence) sum(from int) map[string]*Counts {
 	sums := make(map[string]*Counts)
 	for i := from; i < len(e.Slices); i++ {
-		for route, counts := range e.Slices[i] {
-			if sums[route] == nil {
-				sums[route] = &Counts{}
-			}
-			sums[route].add(counts)
-		}
+		e.addSlice(sums, i)
 	}
 	return sums
 }
@@ -120,8 +128,10 @@
 // total returns the counts of all routes.
 func (e Evidence) total() Counts {
 	var total Counts
-	for _, counts := range e.sum(0) {
-		total.add(*counts)
+	for _, slice := range e.Slices {
+		for _, counts := range slice {
+			total.add(counts)
+		}
 	}
 	return total
 }
--- a/internal/rollout/manager.go
+++ b/internal/rollout/manager.go
@@ -61,7 +61,8 @@
 	selfBad  bool
 	baseline Evidence
 	// lastPoll is when another decider polled this host, or when the order was seen.
-	lastPoll time.Time
+	lastPoll    time.Time
+	lastDecider string
 	// heard is when a decider, this host included, last polled.
 	heard      time.Time
 	promotedAt time.Time
--- a/internal/rollout/poll.go
+++ b/internal/rollout/poll.go
@@ -9,12 +9,7 @@
 	"curranthold.example/curranthold/internal/event"
 )
 
-const (
-	pollMethod = ServiceName + ".Poll"
-	// maxPollTime is how long a decider waits for the replies of a poll; less during
-	// a promotion, which is short.
-	maxPollTime = 300 * time.Millisecond
-)
+const pollMethod = ServiceName + ".Poll"
 
 // PollArgs is what a decider tells the owners of a service.
 type PollArgs struct {
@@ -24,6 +19,10 @@
 	Phase   Phase
 	Reason  Reason
 	Base    string
+	// Decider is the host that polls.
+	Decider string
+	// Begun is set once the stored record is that of this order.
+	Begun bool
 	// Settled is set once the terminal phase is stored and published.
 	Settled bool
 	Service string
@@ -81,7 +80,11 @@
 		r.adoptElapsed(now, args.Elapsed)
 		r.fresh = false
 	}
-	r.lastPoll, r.heard = now, now
+	r.lastPoll, r.heard, r.lastDecider = now, now, args.Decider
+	if r.score(args.Decider) < r.score(m.config.Host) {
+		r.decision.taken = false
+	}
+	r.storage.begun = r.storage.begun || args.Begun
 	if args.Base != "" {
 		r.base = args.Base
 	}
@@ -128,10 +131,9 @@
 	replied, ok bool
 }
 
-// poll asks all owners of a service at the same time.
-func (m *Manager) poll(ctx context.Context, args PollArgs, hosts []Host, timeout time.Duration) []polled {
-	ctx, cancel := context.WithTimeout(ctx, timeout)
-	defer cancel()
+// poll asks all owners of a service at the same time, and waits less for those that were
+// silent before.
+func (m *Manager) poll(ctx context.Context, args PollArgs, hosts []Host, timeout time.Duration, silent map[string]bool) []polled {
 	results := make([]polled, len(hosts))
 	var calls conc.WaitGroup
 	for i, host := range hosts {
@@ -140,6 +142,12 @@
 			continue
 		}
 		calls.Go(func() {
+			timeout := timeout
+			if silent[host.ID] {
+				timeout = minPollTime
+			}
+			ctx, cancel := context.WithTimeout(ctx, timeout)
+			defer cancel()
 			metricPolls.Add(1)
 			var reply PollReply
 			if err := m.config.Peers.Call(ctx, host.Address, pollMethod, &args, &reply); err != nil {
--- a/internal/rollout/promote.go
+++ b/internal/rollout/promote.go
@@ -13,6 +13,10 @@
 	// minPromotionPart is the part of the time for a promotion for which the
 	// candidates get all traffic at least. It shows faults that need full load.
 	minPromotionPart = 0.25
+	// lastPromotionPart and lastCompletionPart are the parts of the time for a promotion
+	// that must be left to begin one and to store it as completed.
+	lastPromotionPart  = 0.4
+	lastCompletionPart = 0.15
 )
 
 // baseline returns the responses of all hosts that have another version than target.
@@ -106,6 +110,10 @@
 	}
 }
 
+func part(d time.Duration, fraction float64) time.Duration {
+	return time.Duration(float64(d) * fraction)
+}
+
 // busyLoad returns how many requests ran at once on average (Little's law) in the
 // busiest complete part of the window.
 func busyLoad(old []Evidence, over, elapsed time.Duration) float64 {
@@ -143,13 +151,12 @@
 		return
 	}
 	reason := m.obstacle(r, f, Analyse(comparison), elapsed)
-	// A decider that finds the order so late decides in its first poll.
-	tooLate := elapsed >= r.order.Over-window/2 && r.decision.rounds > 0
+	late := elapsed >= r.order.Over-part(window, lastPromotionPart)
 	switch {
-	case reason == "" && !tooLate:
+	case reason == "" && (!late || r.decision.rounds == 0): // A decider that finds the order late may still promote.
 		m.enter(r, PhasePromoting, ReasonPassed, now)
 		eventPromoting.Log(event.Fields{"service": r.order.Service, "target": r.order.Target, "order": r.order.ID})
-	case reason == ReasonFailures, reason == ReasonSlow, elapsed >= r.order.Over-window/2:
+	case reason == ReasonFailures, reason == ReasonSlow, late:
 		if reason == "" {
 			reason = ReasonLate
 		}
@@ -184,7 +191,8 @@
 func (m *Manager) finishPromotion(r *rollout, f fleet, now time.Time) {
 	window := m.promotionTime(r.order.Over)
 	promoted := now.Sub(r.promotedAt)
-	if promoted >= window/2 || f.idle && float64(promoted) >= minPromotionPart*float64(window) {
+	due := promoted >= window/2 || f.idle || r.elapsed(now) >= r.order.Over-part(window, lastCompletionPart)
+	if due && promoted >= part(window, minPromotionPart) {
 		r.decision.wantComplete = true
 	}
 	if promoted >= window && r.elapsed(now) >= r.order.Over && !r.storage.busy {
