Tell a faulty host from a bad version by its other hosts' responses

The rest of the hosts is now held to one test on the route and part of the window that failed, instead of to the threshold of all tests.

--- a/internal/rollout/analysis.go
+++ b/internal/rollout/analysis.go
@@ -13,9 +13,10 @@
 	// and versions below failureFloor; TestFalsePositives measures the sum.
 	errorRate      = 1e-4
 	finalErrorRate = 1e-3
-	// remainingErrorRate is the same for the responses without those of the worst
-	// host. A single faulty host would pass the first test alone.
-	remainingErrorRate = 1e-2
+	// remainingErrorRate is the same for one test of the responses without those of the
+	// worst host, on the route and part of the window that failed the first test. A
+	// single faulty host would fail that one alone.
+	remainingErrorRate = 1e-3
 	// failureFloor is the failure rate that every version may have. It lies above the
 	// fault rate of 0.4 % that all backend servers may show.
 	failureFloor = 0.005
@@ -274,7 +275,7 @@
 	}
 	if t.hosts > 1 {
 		rest := sample{all.responses - worst.responses, all.bad - worst.bad}
-		return logRatio(rest, p0, p1) >= math.Log(tests/remainingErrorRate)
+		return logRatio(rest, p0, p1) >= -math.Log(remainingErrorRate)
 	}
 	return t.Candidates <= 1 || all.bad >= soleHostFailures
 }
