--- a/internal/call/packed_test.go
+++ b/internal/call/packed_test.go
@@ -96,6 +96,20 @@
 	qt.Check(t, request, qt.DeepEquals, sampleRequest())
 }
 
+// TestPackedFlags guards against flags of rollouts that nodes of builds without them can't pass over: they must not make a message longer, nor change anything but its last byte.
+func TestPackedFlags(t *testing.T) {
+	request, answer := sampleRequest(), sampleAnswer()
+	request.Header, answer.Header = nil, nil // The order of headers in a message differs.
+	plainRequest, plainAnswer := request.Pack().Data, answer.Pack().Data
+	request.Candidate, answer.Load.Superseded = true, true
+	for plain, marked := range map[string][]byte{string(plainRequest): request.Pack().Data, string(plainAnswer): answer.Pack().Data} {
+		last := len(plain) - 1
+		qt.Assert(t, marked, qt.HasLen, len(plain))
+		qt.Check(t, string(marked[:last]), qt.Equals, plain[:last])
+		qt.Check(t, marked[last]&0b11, qt.Equals, plain[last]&0b11)
+	}
+}
+
 func FuzzPacked(f *testing.F) {
 	f.Add(sampleRequest().Pack().Data)
 	f.Add(sampleAnswer().Pack().Data)
--- a/internal/node/messages_test.go
+++ b/internal/node/messages_test.go
@@ -10,6 +10,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"curranthold.example/curranthold/internal/rollout"
 	"curranthold.example/curranthold/internal/tally"
 )
 
@@ -26,6 +27,7 @@
 	receivers := map[string]any{
 		"Membership": n.members.RPC(), "Configuration": n.configuration.RPC(), "Owner": n.owner.RPC(),
 		"Quota": n.quota.RPC(), "Claim": n.claims.RPC(), tally.ServiceName: new(tally.Manager).RPC(),
+		rollout.ServiceName: new(rollout.Manager).RPC(),
 	}
 	for name, receiver := range receivers {
 		for method := range reflect.TypeOf(receiver).Methods() {
