Keep calls on the new version when the old hosts vanish first

In one of three runs of TestGoodRollout with the race detector, 12 of 1,771 requests found no host: the old hosts were gone from the membership before it said that the new version is in force, and the version to avoid was forgotten with them. All hosts of the service count then. A superseded backend server that stops is also announced for 3 s more, so that an entry that has learned neither gets a refusal with the hint, and not no-host.

--- a/internal/balance/candidate.go
+++ b/internal/balance/candidate.go
@@ -29,8 +29,10 @@
 	fraction float64
 	members  []member
 	zones    map[string]*zone
-	// others holds, by version, all hosts of the service that have another one, the
-	// candidates included. The membership may learn one by one which are in force.
+	// all holds all hosts of the service, and others, by version, those that have another
+	// one, the candidates included. The membership may learn one by one which are in
+	// force.
+	all        *service
 	others     map[string]*service
 	superseded *superseded
 	active     atomic.Pointer[active]
@@ -82,6 +84,7 @@
 			c.zones[h.Zone] = b.zone(h.Zone)
 		}
 	}
+	c.all = b.newService(hosts, next.states)
 	for version := range c.others {
 		others := slices.DeleteFunc(slices.Clone(hosts), func(h Host) bool { return h.Version == version })
 		c.others[version] = b.newService(others, next.states)
@@ -115,7 +118,10 @@
 	if now >= c.superseded.until.Load() {
 		return nil
 	}
-	return c.others[*c.superseded.version.Load()]
+	if others := c.others[*c.superseded.version.Load()]; others != nil {
+		return others
+	}
+	return c.all // The hosts of the superseded version are gone.
 }
 
 // chooseCandidate returns a candidate for the request if it asks for one, and a host of
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -66,8 +66,10 @@
 	rollout  *rollout.Manager
 	records  *rolloutRecords
 	versions *versionGate
-	owner    *owner.Owner
-	entry    *entry.Entry
+	// withdrawal is used only with rollouts.
+	withdrawal withdrawal
+	owner      *owner.Owner
+	entry      *entry.Entry
 	// leaving holds the hosts that have announced that they are leaving. Only the
 	// membership's callback uses it.
 	leaving map[string]bool
--- a/internal/node/rollout.go
+++ b/internal/node/rollout.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -34,6 +35,11 @@
 	// backend servers of most hosts before its own counts as one of the version in force.
 	// Heartbeats come at intervals of up to 1.5 s.
 	settleTime = 3 * time.Second
+	// withdrawalDelay is how long a superseded backend server that has stopped is still
+	// announced. It is longer than the membership takes to spread that the version that
+	// replaced it is in force: an entry that has not learned that yet would otherwise know
+	// no host to call.
+	withdrawalDelay = 3 * time.Second
 	// settledFraction is the fraction of the hosts in the directory that are enough. The
 	// directory may list some that have ended.
 	settledFraction = 0.9
@@ -72,8 +78,38 @@
 // canaryShare returns the bound on a bad version's share of the requests.
 func (n *Node) canaryShare() float64 { return float64(n.settings.Limits.CanaryPercent) / 100 }
 
-// announceBackend announces the backend server on this host to the other nodes.
+// withdrawal is the withdrawal of a superseded backend server that has stopped.
+type withdrawal struct {
+	mu sync.Mutex
+	// due is when the withdrawal is announced, zero if there is none to announce.
+	due time.Time
+}
+
+// announceBackend announces the backend server on this host to the other nodes, the zero
+// Announcement that there is none.
 func (n *Node) announceBackend(a owner.Announcement) {
+	n.withdrawal.mu.Lock()
+	defer n.withdrawal.mu.Unlock()
+	if _, superseded := n.rollout.Refusal(); superseded && a.Service == "" {
+		n.withdrawal.due = time.Now().Add(withdrawalDelay)
+		return
+	}
+	n.setBackend(a)
+}
+
+// announceWithdrawal announces a withdrawal that is due.
+func (n *Node) announceWithdrawal(now time.Time) {
+	n.withdrawal.mu.Lock()
+	defer n.withdrawal.mu.Unlock()
+	if !n.withdrawal.due.IsZero() && !now.Before(n.withdrawal.due) {
+		n.setBackend(owner.Announcement{})
+	}
+}
+
+// setBackend tells the other nodes and the manager of rollouts of the backend server. The
+// withdrawal's mutex must be held.
+func (n *Node) setBackend(a owner.Announcement) {
+	n.withdrawal.due = time.Time{}
 	if n.rollout != nil {
 		n.versions.versioned.Store(a.Version != "")
 		n.rollout.SetBackend(a.Service, a.Version)
@@ -93,6 +129,7 @@
 		if !n.versions.settled.Load() && (n.knowsMostBackends() || time.Since(started) >= settleTime) {
 			n.versions.settled.Store(true)
 		}
+		n.announceWithdrawal(time.Now())
 		n.members.SetCandidate(n.versions.IsCandidate())
 		select {
 		case <-ctx.Done():
