--- a/internal/rollout/fake_test.go
+++ b/internal/rollout/fake_test.go
@@ -88,6 +88,34 @@
 	return s.published[len(s.published)-1]
 }
 
+// states returns the published states, and record the stored record of the service.
+func (s *fakeStore) states() []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Clone(s.published)
+}
+
+func (s *fakeStore) record() Record {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.records[testService]
+}
+
+// put replaces the stored record of the service.
+func (s *fakeStore) put(record Record) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.records[testService] = record
+	s.versions[testService]++
+}
+
+// setFail sets which operations from now on fail.
+func (s *fakeStore) setFail(fail func(call int, operation string) error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.calls, s.fail = 0, fail
+}
+
 // node is one host of a fleet.
 type node struct {
 	host    Host
@@ -101,6 +129,7 @@
 
 // testFleet is a set of hosts in one process, run in a synctest bubble.
 type testFleet struct {
+	mu      sync.Mutex // guards the nodes for their messages
 	nodes   []*node
 	store   *fakeStore
 	orders  []Order
@@ -125,8 +154,8 @@
 
 // Call passes messages through gob, as net/rpc does.
 func (n network) Call(ctx context.Context, address, _ string, args, reply any) error {
-	to := n.fleet.node(address)
-	if to == nil || to.down || n.from.down || to.side != n.from.side {
+	to := n.fleet.reach(n.from, address)
+	if to == nil {
 		<-ctx.Done()
 		return ctx.Err()
 	}
@@ -135,7 +164,7 @@
 		return err
 	}
 	var answer PollReply
-	if err := to.manager.RPC().(*RPC).Poll(&received, &answer); err != nil {
+	if err := to.RPC().(*RPC).Poll(&received, &answer); err != nil {
 		return err
 	}
 	return throughGob(&answer, reply)
@@ -149,6 +178,17 @@
 	return gob.NewDecoder(&wire).Decode(to)
 }
 
+// reach returns the manager of another host; nil if it can't be reached.
+func (f *testFleet) reach(from *node, address string) *Manager {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	to := f.node(address)
+	if to == nil || to.down || from.down || to.side != from.side {
+		return nil
+	}
+	return to.manager
+}
+
 func (f *testFleet) node(id string) *node {
 	i := slices.IndexFunc(f.nodes, func(n *node) bool { return n.host.ID == id })
 	if i < 0 {
@@ -187,32 +227,45 @@
 
 func (f *testFleet) add(id, service, version string) *node {
 	n := &node{host: Host{ID: id, Address: id, Service: service, Version: version, Slots: 40}}
+	f.mu.Lock()
 	f.nodes = append(f.nodes, n)
+	f.mu.Unlock()
 	f.start(n)
 	return n
 }
 
 // start starts the node's process, also after a stop.
 func (f *testFleet) start(n *node) {
-	n.down = false
-	n.manager = New(Config{
+	manager := New(Config{
 		Host: n.host.ID, Peers: network{f, n}, Records: f.store, MaxShare: testShare, Slack: testSlack,
 		RollbackTime: testBack, Running: func() int { return 0 },
 	})
+	f.mu.Lock()
+	n.down, n.manager = false, manager
+	f.mu.Unlock()
 	n.manager.SetHosts(f.live(n.side))
 	n.manager.SetOrders(f.orders)
 	n.manager.SetBackend(n.host.Service, n.host.Version)
 	ctx, cancel := context.WithCancel(context.Background())
 	n.stop = cancel
-	go func() { _ = n.manager.Run(ctx) }()
+	go func() { _ = manager.Run(ctx) }()
 }
 
 // kill ends the node's process. The membership of the others doesn't notice until sync.
 func (f *testFleet) kill(n *node) {
+	f.mu.Lock()
 	n.down = true
+	f.mu.Unlock()
 	n.stop()
 }
 
+// split moves a host to a side of a partition.
+func (f *testFleet) split(n *node, side int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	n.side = side
+}
+
 func (f *testFleet) close() {
 	for _, n := range f.nodes {
 		n.stop()
--- a/internal/rollout/fault_test.go
+++ b/internal/rollout/fault_test.go
@@ -15,12 +15,12 @@
 	t.Helper()
 	qt.Check(t, f.exposed() <= 0, qt.IsTrue, qt.Commentf("%s: %d of %d went to the new version", what, f.toNew, f.all))
 	qt.Check(t, f.lateNew, qt.Equals, 0, qt.Commentf("%s", what))
-	stored := f.store.records[testService]
+	stored := f.store.record()
 	if f.state() == completed {
 		qt.Check(t, stored.Phase, qt.Equals, PhaseCompleted, qt.Commentf("%s", what))
 	}
-	qt.Check(t, slices.Contains(f.store.published, completed) && slices.Contains(f.store.published, rolledBack),
-		qt.IsFalse, qt.Commentf("%s: %v", what, f.store.published))
+	qt.Check(t, slices.Contains(f.store.states(), completed) && slices.Contains(f.store.states(), rolledBack),
+		qt.IsFalse, qt.Commentf("%s: %v", what, f.store.states()))
 }
 
 // makeBad lets the new version fail with the given probability.
@@ -44,13 +44,12 @@
 						f := newFleet(t, uint64(step), 4, 2, 2)
 						f.makeBad(share)
 						f.store.lost = lost
-						f.store.calls = 0
-						f.store.fail = func(call int, _ string) error {
+						f.store.setFail(func(call int, _ string) error {
 							if call == step {
 								return errAway
 							}
 							return nil
-						}
+						})
 						f.order(1, "v2", testOver)
 						f.run(testOver)
 						qt.Check(t, f.state(), qt.Equals, want)
@@ -82,12 +81,12 @@
 				f := newFleet(t, 3, 4, 2, 2)
 				f.makeBad(test.share)
 				start := time.Now()
-				f.store.fail = func(int, string) error {
+				f.store.setFail(func(int, string) error {
 					if at := time.Since(start); at >= test.from && at < test.to {
 						return errAway
 					}
 					return nil
-				}
+				})
 				f.order(1, "v2", testOver)
 				f.run(testOver + 6*time.Second)
 				qt.Check(t, f.state(), qt.Equals, test.want)
@@ -140,7 +139,7 @@
 						f.run(at)
 						for i, n := range f.nodes {
 							if i%2 == 1 && !onlyCandidate || n.host.ID == "new-0" || n.host.ID == "entry-0" {
-								n.side = 1
+								f.split(n, 1)
 							}
 						}
 						f.run(3 * time.Second)
@@ -148,13 +147,13 @@
 						f.run(max(testOver-at-3*time.Second, 0))
 						f.check(t, "deadline")
 						for _, n := range f.nodes {
-							n.side = 0
+							f.split(n, 0)
 						}
 						f.sync()
 						f.run(testBack)
 						f.check(t, "healed")
 						qt.Check(t, f.state() == completed && share == 0 || f.state() == rolledBack, qt.IsTrue, qt.Commentf("%s", f.state()))
-						phase := f.store.records[testService].Phase
+						phase := f.store.record().Phase
 						for _, n := range f.nodes {
 							if n.host.Service == testService {
 								status, _ := n.manager.Status(testService)
@@ -221,14 +220,11 @@
 		f := newFleet(t, 5, 4, 2, 2)
 		f.order(1, "v2", testOver)
 		f.run(11600 * time.Millisecond) // in the promotion
-		f.store.mu.Lock()
-		record := f.store.records[testService]
+		record := f.store.record()
 		if !record.Phase.terminal() {
 			record.Phase, record.Reason = PhaseRolledBack, ReasonFailures
-			f.store.records[testService] = record
-			f.store.versions[testService]++
+			f.store.put(record)
 		}
-		f.store.mu.Unlock()
 		f.run(testBack)
 		qt.Check(t, f.state() == completed, qt.Equals, record.Phase == PhaseCompleted)
 		f.check(t, "end")
--- a/internal/rollout/outcome_test.go
+++ b/internal/rollout/outcome_test.go
@@ -92,11 +92,10 @@
 		"first seen after the deadline": {
 			want: []string{"service v2 rolled-back"}, reason: ReasonLate,
 			run: func(f *testFleet) {
-				f.store.records[testService] = Record{
+				f.store.put(Record{
 					Service: testService, Target: "v2", Base: "v1", Order: 1, Over: testOver, Phase: PhaseCanary,
 					Started: time.Now().Add(-testOver - time.Minute),
-				}
-				f.store.versions[testService] = 1
+				})
 				f.orders = []Order{{Service: testService, Target: "v2", Over: testOver, ID: 1}}
 				f.ordered = time.Now()
 				for _, n := range f.nodes {
@@ -138,7 +137,7 @@
 			inFleet(t, func(t *testing.T) {
 				f := newFleet(t, 2, 4, 2, 2)
 				test.run(f)
-				qt.Check(t, f.store.published, qt.DeepEquals, test.want)
+				qt.Check(t, f.store.states(), qt.DeepEquals, test.want)
 				service := testService
 				if test.service != "" {
 					service = test.service
@@ -181,7 +180,7 @@
 		}
 		f.run(testOver)
 		qt.Check(t, f.state(), qt.Equals, completed)
-		qt.Check(t, f.store.records[testService].Order, qt.Equals, uint64(2))
+		qt.Check(t, f.store.record().Order, qt.Equals, uint64(2))
 		qt.Check(t, f.exposed() <= 0, qt.IsTrue)
 	})
 }
--- a/internal/rollout/store.go
+++ b/internal/rollout/store.go
@@ -39,8 +39,8 @@
 }
 
 // readOwnRecord reads the record of the own service once if versions other than the own
-// are alive and no decider has told which one is in force. It reports whether that is
-// still to be done.
+// are alive, and this process has not been told which one is in force and hasn't run long
+// enough to know. It reports whether that is still to be done.
 func (m *Manager) readOwnRecord(ctx context.Context, calls *conc.WaitGroup, now time.Time) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -48,6 +48,8 @@
 	switch {
 	case m.recordRead, m.version == "", r != nil && r.base != "":
 		return false
+	case m.inForce != "" && !m.guessing(now):
+		return false
 	case len(m.otherVersions(m.service, m.version)) == 0 && (r == nil || !r.fresh):
 		return false
 	case m.readingRecord || now.Before(m.recordRetryAt):
--- a/internal/rollout/view.go
+++ b/internal/rollout/view.go
@@ -96,7 +96,7 @@
 // one that most of the warm backend servers have. A version that joins later is not in
 // force until an order was completed. The record in the store takes precedence.
 func (m *Manager) guessInForce(now time.Time) {
-	if m.service == "" || m.inForce != "" && (!m.guessed || now.Sub(m.guessedAt) >= guessTime) {
+	if m.service == "" || m.inForce != "" && !m.guessing(now) {
 		return
 	}
 	best := ""
@@ -128,6 +128,11 @@
 	}
 }
 
+// guessing reports whether the version in force is a guess that may still change.
+func (m *Manager) guessing(now time.Time) bool {
+	return m.guessed && now.Sub(m.guessedAt) < guessTime
+}
+
 // setInForce sets the version in force as a decider or the store told.
 func (m *Manager) setInForce(version string) {
 	m.inForce, m.guessed = version, false
