Announce versions only where the settings enable rollouts

Heartbeats on the users' platform state a version everywhere, so that records of the membership would have grown also in deployments without rollouts. A test holds this; it passes.

--- a/internal/node/rollout.go
+++ b/internal/node/rollout.go
@@ -110,13 +110,13 @@
 // withdrawal's mutex must be held.
 func (n *Node) setBackend(a owner.Announcement) {
 	n.withdrawal.due = time.Time{}
+	announced := membership.Backend{Service: a.Service, Slots: a.Slots, Cold: a.Cold}
 	if n.rollout != nil {
 		n.versions.versioned.Store(a.Version != "")
 		n.rollout.SetBackend(a.Service, a.Version)
+		announced.Version, announced.Candidate = a.Version, n.versions.IsCandidate()
 	}
-	n.members.Announce(membership.Backend{
-		Service: a.Service, Version: a.Version, Slots: a.Slots, Cold: a.Cold, Candidate: n.versions.IsCandidate(),
-	})
+	n.members.Announce(announced)
 }
 
 // announceCandidate keeps what the other nodes are told up to date: whether the version of
--- a/internal/node/rollout_test.go
+++ b/internal/node/rollout_test.go
@@ -9,6 +9,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"curranthold.example/curranthold/internal/membership"
+	"curranthold.example/curranthold/internal/owner"
 	"curranthold.example/curranthold/internal/platform"
 	"curranthold.example/curranthold/internal/rollout"
 	"curranthold.example/curranthold/internal/standin"
@@ -94,3 +95,17 @@
 	qt.Check(t, s.update([]membership.Member{m}), qt.Equals, memberDiff{backends: true})
 	qt.Check(t, s.update([]membership.Member{m}), qt.Equals, memberDiff{})
 }
+
+// TestNoVersionsWithoutRollouts guards against messages that change where no settings enable rollouts.
+func TestNoVersionsWithoutRollouts(t *testing.T) {
+	n, _ := newIdleNode(t)
+	n.wg.Go(func() { n.members.Run(context.Background()) })
+	n.announceBackend(owner.Announcement{Service: "peals", Version: "v2", Slots: 4})
+	for end := time.Now().Add(5 * time.Second); n.members.Members()[0].Service == "" && time.Now().Before(end); {
+		time.Sleep(5 * time.Millisecond)
+	}
+	own := n.members.Members()[0]
+	qt.Check(t, own.Service, qt.Equals, "peals")
+	qt.Check(t, own.BackendVersion, qt.Equals, "")
+	qt.Check(t, own.Candidate, qt.IsFalse)
+}
