--- a/internal/admission/load.go
+++ b/internal/admission/load.go
@@ -32,6 +32,9 @@
 	// MeanSlotTime is the moving average of the time for which a request runs, less the
 	// time in which it waits for nested calls; 0 if unknown.
 	MeanSlotTime time.Duration `json:"mean-slot-time,omitempty"`
+	// Superseded reports that the service's traffic moves to another version of its
+	// backend servers, so that this host takes no new requests.
+	Superseded bool `json:"superseded,omitempty"`
 }
 
 // shedNone represents a ShedFrom of object.UrgencyCount in JSON.
--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -28,6 +28,7 @@
 	chosenOtherZone     = metrics.Int("chosen-other-zone-requests")
 	spreadCalls         = metrics.Int("spread-requests")
 	spilledCalls        = metrics.Int("spilled-requests")
+	chosenCandidate     = metrics.Int("chosen-candidate-requests")
 	refusedEarly        = metrics.Int("refused-early-requests")
 	refusedNoHost       = metrics.Int("refused-no-host-requests")
 	refusedOutOfService = metrics.Int("refused-zone-out-of-service-requests")
@@ -50,6 +51,8 @@
 	// DisableEarlyRefusal sends calls even if all candidates refuse their urgency. It
 	// exists so that the effect of the refusal can be measured.
 	DisableEarlyRefusal bool
+	// CandidateFraction is the fraction of a service's calls that ask for a candidate.
+	CandidateFraction float64
 }
 
 // Request describes a call for which a host is to be chosen.
@@ -67,13 +70,18 @@
 	// Exclude holds the IDs of hosts that are not eligible because the call was
 	// already sent to them.
 	Exclude []string
+	// Candidate asks for a host whose version is not in force. Without one that takes
+	// the call, another host is chosen.
+	Candidate bool
 }
 
 // service holds the hosts of one service: those of the Balancer's own zone, nil if
-// there are none, and those of each other zone.
+// there are none, and those of each other zone. It holds its candidates apart, nil if
+// there are none.
 type service struct {
-	own    *group
-	others []*group
+	own        *group
+	others     []*group
+	candidates *candidates
 }
 
 // snapshot holds the hosts that Choose reads. The maps are not modified after it is
@@ -81,6 +89,9 @@
 type snapshot struct {
 	services map[string]*service
 	states   map[string]*state
+	// versioned holds the hosts of services with candidates by ID. It is nil if no
+	// service has any.
+	versioned map[string]versionedHost
 }
 
 // Balancer chooses hosts. Its methods may be called concurrently.
@@ -93,6 +104,8 @@
 
 	mu    sync.Mutex
 	zones map[string]*zone
+	// superseded holds, by service with candidates, the version that its calls avoid.
+	superseded map[string]*superseded
 }
 
 // New returns a Balancer that knows no hosts.
@@ -123,8 +136,13 @@
 		states:   make(map[string]*state),
 	}
 	for name, hosts := range byService {
+		if slices.ContainsFunc(hosts, func(h Host) bool { return h.Candidate }) {
+			b.addWithCandidates(next, name, hosts)
+			continue
+		}
 		next.services[name] = b.newService(hosts, next.states)
 	}
+	b.forgetSuperseded(next)
 	b.snapshot.Store(next)
 }
 
@@ -195,7 +213,19 @@
 	if service == nil {
 		return Host{}, noHostError(&r)
 	}
-	s := search{request: &r, now: b.config.Now().UnixNano(), ignoreShedding: b.config.DisableEarlyRefusal}
+	now := b.config.Now().UnixNano()
+	if service.candidates != nil {
+		host, decided, err := b.chooseCandidate(service.candidates, &r, now)
+		if decided {
+			return host, err
+		}
+	}
+	return b.chooseFrom(service, &r, now)
+}
+
+// chooseFrom returns a host of the service other than a candidate.
+func (b *Balancer) chooseFrom(service *service, r *Request, now int64) (Host, error) {
+	s := search{request: r, now: now, ignoreShedding: b.config.DisableEarlyRefusal}
 	if (*b.spread.Load())[r.Service] {
 		b.searchSpread(service, &s)
 	} else {
@@ -338,9 +368,15 @@
 
 // Observe records the load hint that came with a host's answer.
 func (b *Balancer) Observe(hostID string, l admission.Load, now time.Time) {
-	if s := b.state(hostID); s != nil {
+	snapshot := b.snapshot.Load()
+	if s := snapshot.states[hostID]; s != nil {
 		s.observe(l, now.UnixNano())
 	}
+	if l.Superseded {
+		if h, ok := snapshot.versioned[hostID]; ok {
+			h.supersede(now.UnixNano())
+		}
+	}
 }
 
 // RecordUnreachable records that a host could not be reached. The host is avoided
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -19,7 +19,7 @@
 )
 
 // stageOrder lists the owner's stages in order.
-var stageOrder = []string{"service", "admission", "backend"}
+var stageOrder = []string{"service", "rollout", "admission", "rollout", "backend"}
 
 // stages is the registry of the owner's stages.
 var stages kernel.Registry[*Owner, *activeCall]
@@ -59,6 +59,8 @@
 	// ColdRateFactor is the call rate allowed for a backend server in cold start, as
 	// a multiple of the ColdRate of its service; 0 means 1.
 	ColdRateFactor float64
+	// Rollout decides which calls are refused during a rollout. It may be nil.
+	Rollout Rollout
 	// IdleTimeout is how long an idle connection to the backend server is kept
 	// open; 0 means a minute.
 	IdleTimeout time.Duration
@@ -75,6 +77,8 @@
 	// cancel ends the call, and offer decides whether it may still be offered.
 	cancel context.CancelFunc
 	offer  offer
+	// leaving and superseded are what the rollout last said about new calls.
+	leaving, superseded bool
 }
 
 // Owner handles the calls for the backend server on its host.
@@ -140,7 +144,7 @@
 	answer.ID = request.ID
 	defer answer.Seal()
 	err := o.handler(ctx, c)
-	answer.Load = o.config.Admission.Load()
+	answer.Load = o.load(c)
 	answer.ExtraAttempts = request.ExtraAttempts
 	if c.parent != nil {
 		answer.ExtraAttempts = c.parent.close()
@@ -245,6 +249,7 @@
 func init() {
 	stages.Register("service", serviceStage)
 	stages.Register("admission", admissionStage)
+	stages.Register("rollout", rolloutStage)
 	stages.Register("backend", backendStage)
 }
 
@@ -275,7 +280,9 @@
 		c.permit = permit
 		err = next(ctx, c)
 		metricBackend.Record(time.Since(admitted))
-		permit.Done(c.outcome(err))
+		outcome := c.outcome(err)
+		o.recordResponse(c, outcome)
+		permit.Done(outcome)
 		return err
 	}
 }
@@ -316,7 +323,7 @@
 		return admission.Failed
 	case verdict.From(err).Code == verdict.BackendRefused:
 		return admission.Refused
-	case verdict.From(err).Code == verdict.Cancelled:
+	case verdict.From(err).Code == verdict.Cancelled, verdict.From(err).Code == verdict.Leaving:
 		return admission.Abandoned
 	default:
 		return admission.Broken
