Send requests to the backend server without probes of their bodies

Cause: for a GET request with a body of unknown type, net/http starts a goroutine and a timer to learn that the body is empty; it writes a body of unknown type apart from the head, and copies it through a new buffer of 32 KiB, which socket.Conn.ReadFrom allocated.

Requests without a body now state the identity encoding, which net/http sends as nothing, where it probed before. Bodies have a type that net/http writes together with the head. They still have no GetBody, so that net/http resends nothing by itself (TestNeverSentTwice). http.NoBody was ruled out for that reason.

--- a/internal/owner/backend.go
+++ b/internal/owner/backend.go
@@ -71,12 +71,39 @@
 	return &offerConn{Conn: conn}, nil
 }
 
-// singleUseBody is the body of a request. It hides the type of its reader from
-// net/http, which would otherwise resend the request by itself when a connection
-// breaks.
-type singleUseBody struct{ io.Reader }
+// emptyBody is an empty body. With no body at all, net/http would resend the request by
+// itself when a connection breaks.
+type emptyBody struct{}
 
-func (singleUseBody) Close() error { return nil }
+// Read implements io.Reader.
+func (emptyBody) Read([]byte) (int, error) { return 0, io.EOF }
+
+// WriteTo implements io.WriterTo, without which net/http would need a buffer.
+func (emptyBody) WriteTo(io.Writer) (int64, error) { return 0, nil }
+
+// Close implements io.Closer.
+func (emptyBody) Close() error { return nil }
+
+// identityEncoding is the transfer encoding of a request whose body is sent as it is.
+var identityEncoding = []string{"identity"}
+
+// setBody sets the body of a request so that net/http does not resend the request by
+// itself: it has a body, and no GetBody.
+func setBody(request *http.Request, body []byte) {
+	if len(body) > 0 {
+		// Net/http writes a body of this type together with the header.
+		request.Body = io.NopCloser(bytes.NewReader(body))
+		request.ContentLength = int64(len(body))
+		return
+	}
+	request.Body = emptyBody{}
+	switch request.Method {
+	case http.MethodGet, http.MethodHead, http.MethodOptions, http.MethodDelete:
+		// Otherwise net/http starts a goroutine and a timer to find out whether the
+		// body is empty.
+		request.TransferEncoding = identityEncoding
+	}
+}
 
 // errConnectionRefused marks the error of a call whose connection was refused: no
 // process is listening at the backend server's address.
@@ -149,7 +176,7 @@
 
 func (o *Owner) newRequest(ctx context.Context, b *backend, c *activeCall, token string) (*http.Request, error) {
 	r := c.request
-	request, err := http.NewRequestWithContext(ctx, r.Method, "http://"+b.announcement.Address, singleUseBody{bytes.NewReader(r.Body)})
+	request, err := http.NewRequestWithContext(ctx, r.Method, "http://"+b.announcement.Address, nil)
 	if err != nil {
 		return nil, err
 	}
@@ -157,7 +184,7 @@
 		return nil, err
 	}
 	request.Host = r.Host
-	request.ContentLength = int64(len(r.Body))
+	setBody(request, r.Body)
 	request.Header = r.Header
 	if !c.ownsHeader || request.Header == nil {
 		request.Header = make(http.Header, len(r.Header)+addedHeaders)
--- a/internal/socket/conn.go
+++ b/internal/socket/conn.go
@@ -76,9 +76,18 @@
 	return c.TCPConn.Write(p)
 }
 
+// copyBytes is the size of the buffers of ReadFrom, that of io.Copy.
+const copyBytes = 32 << 10
+
+// copyBuffers holds buffers of ReadFrom that are not in use. net/http calls it for each
+// request with a body, and for most of them the buffer would be the largest allocation.
+var copyBuffers = sync.Pool{New: func() any { return new([copyBytes]byte) }}
+
 // ReadFrom implements io.ReaderFrom by means of Write.
 func (c *Conn) ReadFrom(r io.Reader) (int64, error) {
-	return io.Copy(struct{ io.Writer }{c}, r)
+	buffer := copyBuffers.Get().(*[copyBytes]byte)
+	defer copyBuffers.Put(buffer)
+	return io.CopyBuffer(struct{ io.Writer }{c}, r, buffer[:])
 }
 
 // Close implements net.Conn. On an accepted connection, which carries answers, data that
