Hold no buffer for each large response that may be read at once

Cause: Config.LargeAnswers buffers were used in turn, so that each of them grew to the largest response of undeclared length and was kept. On the users' platform there is one for each 8 MB of the memory limit, so that 18 to 50 of them can hold 1 MB each, and the collector lets the heap grow by twice that in addition.

The bound on these is unchanged (TestWithoutEnd). By arithmetic, not measured: up to 50 MB of live heap less after large responses of undeclared length.

--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -3,7 +3,6 @@
 package owner
 
 import (
-	"bytes"
 	"cmp"
 	"context"
 	"errors"
@@ -87,8 +86,8 @@
 	handler      kernel.Handler[*activeCall]
 	callTokens   callTokens
 	waitingCalls waitingCalls
-	// largeAnswers holds a buffer for each large body that may be read now.
-	largeAnswers chan *bytes.Buffer
+	// largeAnswers holds an element for each large body that is being read.
+	largeAnswers chan struct{}
 
 	// announceMu serializes HandleHeartbeat, MarkDeparted and AnnounceProvisionally.
 	announceMu sync.Mutex
@@ -115,10 +114,7 @@
 		config.Codec = defaultCodec{}
 	}
 	o := &Owner{config: config, running: make(map[string]*activeCall)}
-	o.largeAnswers = make(chan *bytes.Buffer, cmp.Or(config.LargeAnswers, defaultLargeAnswers))
-	for range cap(o.largeAnswers) {
-		o.largeAnswers <- new(bytes.Buffer)
-	}
+	o.largeAnswers = make(chan struct{}, cmp.Or(config.LargeAnswers, defaultLargeAnswers))
 	handler, err := stages.Build(o, stageOrder...)
 	if err != nil {
 		return nil, err
