Create no context for the monitoring of each attempt

Cause: watchAttempt made a cancellable context a call, registered it with the attempt's context and cancelled it microseconds before that one ends anyway. The monitoring now ends with the attempt's context. Hop-by-hop headers are deleted by their canonical names, without converting 20 names a call.

--- a/internal/call/header.go
+++ b/internal/call/header.go
@@ -29,6 +29,6 @@
 		}
 	}
 	for _, name := range hopByHopHeaders {
-		h.Del(name)
+		delete(h, name) // The names are canonical already.
 	}
 }
--- a/internal/entry/remote.go
+++ b/internal/entry/remote.go
@@ -99,7 +99,8 @@
 	return result
 }
 
-// watchAttempt monitors the host during an attempt, until the returned function is called.
+// watchAttempt monitors the host during an attempt, until the attempt's context ends. The
+// returned function must be called before; it keeps a monitoring from starting.
 func (e *Entry) watchAttempt(a *remoteAttempt) (stop func()) {
 	onUnresponsive := func() {
 		a.isUnresponsive.Store(true)
@@ -107,17 +108,14 @@
 		eventUnresponsive.Log(event.Fields{"host": a.host.ID, "zone": a.host.Zone, "request": a.request.RequestID})
 		close(a.unresponsive)
 	}
-	watched, cancel := context.WithCancel(a.ctx)
-	// Most attempts end before pingAfter and need no goroutine.
+	// Most attempts end before pingAfter and need no goroutine. The goroutine ends with
+	// a.ctx, soon after the exchange.
 	timer := time.AfterFunc(pingAfter, func() {
-		if watched.Err() == nil {
-			e.wg.Go(func() { e.watchHost(watched, a.host, onUnresponsive) })
+		if a.ctx.Err() == nil {
+			e.wg.Go(func() { e.watchHost(a.ctx, a.host, onUnresponsive) })
 		}
 	})
-	return func() {
-		timer.Stop()
-		cancel()
-	}
+	return func() { timer.Stop() }
 }
 
 // unansweredError returns the error of an attempt that ended without an answer, and
