Bound what all clients together make a node hold

Clients outside the declared limits ended a process for lack of memory. Each request was bounded, but not all of them together: net/http keeps 36 KiB of head for each connection, which in very many short lines takes 50 times that in memory; an announced body was read up to the limit before it was refused; responses of slow readers and connections had no limit at all. A node without free descriptors stopped to accept connections of other nodes for good, since the accept loop ended at the first error.

Ruled out: a lower limit of header lines, since 16 KiB of head may hold 5,400 of them; a parser of our own; a limit of connections that refuses new ones, since those that were opened and left would keep out all others.

The package clientlimit divides memory-bytes into fixed parts for connections, heads being read, requests in progress, bodies and responses. The connection counts bytes and lines of the head that net/http reads. The most expensive head, the least active connection and the slowest reader go first. Bodies reserve memory as they arrive, and calls of other nodes are counted as well. Each listener may use a part of the descriptors. Unused memory is returned once the use has fallen. currantholdd run now sets memory-bytes as the limit of the runtime, as sidecar did. Without memory-bytes only the limits of connections are new.

internal/hostile lets 100 clients (512 where connections are left open) loose on a node with memory-bytes 64 MB and 256 descriptors, for 6 s each; bounds 48 MiB resident and 192 descriptors, and an ordinary request must be served afterwards.

--- a/cmd/currantholdd/run.go
+++ b/cmd/currantholdd/run.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 
 	"github.com/google/subcommands"
@@ -44,6 +45,9 @@
 	if status != subcommands.ExitSuccess {
 		return status
 	}
+	if s.Limits.MemoryBytes > 0 {
+		debug.SetMemoryLimit(int64(s.Limits.MemoryBytes))
+	}
 	n, err := node.New(s)
 	reload := func() (settings.Settings, error) { return settings.Load(c.settingsFile) }
 	return runNode(ctx, n, err, s.CallerAddress, reload)
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -21,6 +21,7 @@
 	"curranthold.example/curranthold/internal/balance"
 	"curranthold.example/curranthold/internal/call"
 	"curranthold.example/curranthold/internal/claim"
+	"curranthold.example/curranthold/internal/clientlimit"
 	"curranthold.example/curranthold/internal/configuration"
 	"curranthold.example/curranthold/internal/kernel"
 	"curranthold.example/curranthold/internal/owner"
@@ -88,6 +89,8 @@
 	// the total size of the request bodies held in memory. 0 means no bound.
 	CallsInFlight int
 	BytesInFlight int64
+	// Clients bounds the memory of requests, bodies and responses; nil means no bound.
+	Clients *clientlimit.Budget
 	// DefaultTimeout is the timeout of routes that set none.
 	DefaultTimeout time.Duration
 	// ExtraAttempts is the number of attempts that a root request may make beyond
@@ -215,9 +218,9 @@
 	failovers int
 	// generation is the generation of the configuration that routed the call.
 	generation uint64
-	// maxBodyBytes is an upper bound of the body's size; readBody reads the body.
-	maxBodyBytes int64
-	readBody     func() ([]byte, error)
+	// readBody reads the body. Release frees the memory that is reserved for it, also
+	// after an error.
+	readBody func() (body []byte, release func(), err error)
 	// timeout is the caller's timeout, counted from arrived; 0 if not given.
 	timeout time.Duration
 	arrived time.Time
@@ -246,7 +249,7 @@
 
 // CallerHandler returns the handler for calls from callers.
 func (e *Entry) CallerHandler() http.Handler {
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	return e.limitRequests(func(w http.ResponseWriter, r *http.Request) {
 		if e.requestsTickets(r) {
 			e.serveTickets(w, r)
 			return
@@ -294,7 +297,7 @@
 }
 
 // NestedHandler returns the handler for calls from the backend server on this host.
-func (e *Entry) NestedHandler() http.Handler { return http.HandlerFunc(e.serveNested) }
+func (e *Entry) NestedHandler() http.Handler { return e.limitRequests(e.serveNested) }
 
 func (e *Entry) serveRoot(w http.ResponseWriter, r *http.Request) {
 	x, err := e.readRequest(w, r)
--- a/internal/entry/http.go
+++ b/internal/entry/http.go
@@ -6,13 +6,13 @@
 	"crypto/rand"
 	"encoding/json"
 	"errors"
-	"io"
 	"net/http"
 	"strconv"
 	"strings"
 	"time"
 
 	"curranthold.example/curranthold/internal/call"
+	"curranthold.example/curranthold/internal/clientlimit"
 	"curranthold.example/curranthold/pkg/header"
 	"curranthold.example/curranthold/pkg/verdict"
 )
@@ -60,8 +60,7 @@
 	}
 	x.request.Header = call.EndToEnd(r.Header)
 	e.config.Codec.Strip(x.request.Header)
-	x.maxBodyBytes = e.maxBodyBytes(r)
-	x.readBody = func() ([]byte, error) { return e.readBody(w, r) }
+	x.readBody = func() ([]byte, func(), error) { return e.readBody(w, r) }
 	return x, nil
 }
 
@@ -73,23 +72,34 @@
 	return r.URL.RequestURI()
 }
 
-// readBody reads the body within bodyTimeout. Its errors have verdict NotRun.
-func (e *Entry) readBody(w http.ResponseWriter, r *http.Request) ([]byte, error) {
+// readBody reads the body within bodyTimeout. Release frees the memory that is reserved
+// for it, also after an error. Its errors have verdict NotRun.
+func (e *Entry) readBody(w http.ResponseWriter, r *http.Request) (body []byte, release func(), err error) {
 	if r.ContentLength == 0 {
-		return nil, nil
+		return nil, func() {}, nil
 	}
+	limit := e.config.RequestBytes
+	tooLarge := verdict.New(verdict.NotRun, verdict.RequestTooLarge, "the body exceeds %d bytes", limit)
+	if r.ContentLength > limit {
+		w.Header().Set("Connection", "close") // The body is not read.
+		return nil, func() {}, tooLarge
+	}
+	memory := &reservation{entry: e}
 	control := http.NewResponseController(w)
 	_ = control.SetReadDeadline(time.Now().Add(bodyTimeout))
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, e.config.RequestBytes))
-	var tooLarge *http.MaxBytesError
+	body, err = readReserved(r.Body, r.ContentLength, limit, memory)
+	var refusal *verdict.Error
 	switch {
-	case errors.As(err, &tooLarge):
-		return nil, verdict.New(verdict.NotRun, verdict.RequestTooLarge, "the body exceeds %d bytes", tooLarge.Limit)
-	case err != nil:
-		return nil, verdict.New(verdict.NotRun, verdict.BadRequest, "the body is incomplete: %v", err)
-	}
-	_ = control.SetReadDeadline(time.Time{})
-	return body, nil
+	case err == nil:
+		_ = control.SetReadDeadline(time.Time{})
+		return body, memory.release, nil
+	case errors.Is(err, errBodyTooLarge):
+		refusal = tooLarge
+	case !errors.As(err, &refusal):
+		refusal = verdict.New(verdict.NotRun, verdict.BadRequest, "the body is incomplete: %v", err)
+	}
+	w.Header().Set("Connection", "close") // The rest of the body is not read.
+	return nil, memory.release, refusal
 }
 
 func (x *activeCall) checkIdentifiers() error {
@@ -128,18 +138,27 @@
 		w.Header().Set("Content-Length", strconv.Itoa(len(x.answer.Body)))
 	}
 	w.WriteHeader(x.answer.Status)
-	writeBody(w, x.answer.Body)
+	e.writeBody(w, x.answer.Body)
 	metricServed[x.request.Urgency].Add(1)
 	metricLatency.Record(time.Since(x.arrived))
 }
 
-// writeBody writes the body of a response. It gives up if the caller's connection fails, or
-// takes no answerPieceBytes within answerTimeout.
-func writeBody(w http.ResponseWriter, body []byte) {
+// writeBody writes the body of a response. It gives up if the caller's connection fails,
+// takes no answerPieceBytes within answerTimeout, or is the slowest of those whose
+// responses together exceed the memory for them.
+func (e *Entry) writeBody(w http.ResponseWriter, body []byte) {
 	control := http.NewResponseController(w)
+	var writing *clientlimit.Response
+	if len(body) >= clientlimit.MinResponseBytes {
+		writing = e.config.Clients.BeginResponse(int64(len(body)), func() { _ = control.SetWriteDeadline(time.Now()) })
+		defer writing.End()
+	}
+	extend := func() { _ = control.SetWriteDeadline(time.Now().Add(answerTimeout)) }
 	for {
 		n := min(len(body), answerPieceBytes)
-		_ = control.SetWriteDeadline(time.Now().Add(answerTimeout))
+		if !writing.Continue(extend) {
+			return
+		}
 		if _, err := w.Write(body[:n]); err != nil || n == len(body) {
 			return
 		}
--- a/internal/entry/slow_caller_test.go
+++ b/internal/entry/slow_caller_test.go
@@ -46,7 +46,7 @@
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				w := &slowWriter{bytesPerS: test.bytesPerS}
-				writeBody(w, make([]byte, test.bytes))
+				new(Entry).writeBody(w, make([]byte, test.bytes))
 				qt.Check(t, w.written, qt.Equals, test.want)
 			})
 		})
--- a/internal/node/endless_test.go
+++ b/internal/node/endless_test.go
@@ -36,7 +36,7 @@
 			n := new(Node)
 			server := n.serve(listener, http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
 				_, _ = io.Copy(io.Discard, r.Body)
-			}))
+			}), callerConnections)
 			defer func() { _ = server.Close() }()
 			before := standin.LiveMemory()
 			var wg sync.WaitGroup
--- a/internal/node/listen.go
+++ b/internal/node/listen.go
@@ -4,12 +4,15 @@
 	"context"
 	"errors"
 	"expvar"
+	"math"
 	"net"
 	"net/http"
 	"time"
 
 	"github.com/julienschmidt/httprouter"
+	"golang.org/x/sys/unix"
 
+	"curranthold.example/curranthold/internal/clientlimit"
 	"curranthold.example/curranthold/internal/resource"
 	"curranthold.example/curranthold/internal/settings"
 	"curranthold.example/curranthold/internal/socket"
@@ -24,6 +27,30 @@
 	maxHeaderBytes = 32 << 10
 )
 
+// The parts of the node's descriptors that the connections of each listener may use, in
+// sixteenths. The rest is for the node's own connections and those of other nodes.
+const (
+	descriptorParts     = 16
+	callerConnections   = 6
+	backendConnections  = 4
+	operatorConnections = 1
+	readyConnections    = 1
+	peerHandshakes      = 1
+)
+
+// minConnections is the lowest limit of a listener's connections.
+const minConnections = 8
+
+// connectionLimit returns the number of descriptors that the given parts amount to, 0
+// if the process has no limit.
+func connectionLimit(parts int) int {
+	var limit unix.Rlimit
+	if err := unix.Getrlimit(unix.RLIMIT_NOFILE, &limit); err != nil || limit.Cur > math.MaxInt32 {
+		return 0
+	}
+	return max(int(limit.Cur)*parts/descriptorParts, minConnections)
+}
+
 // listeners are the network listeners of a node.
 type listeners struct {
 	caller   *backlogListener
@@ -114,3 +141,22 @@
 	})
 	return router
 }
+
+// serve starts an HTTP server with limits on the size and the read time of request
+// headers, and on its connections: parts of the node's descriptors.
+func (n *Node) serve(listener net.Listener, handler http.Handler, parts int) *http.Server {
+	server := &http.Server{
+		Handler:           clientlimit.Handler(handler),
+		ReadHeaderTimeout: headerTimeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    maxHeaderBytes,
+		ConnState:         clientlimit.ConnState,
+		ConnContext:       clientlimit.ConnContext,
+		// A caller must not get a success that no backend server gave.
+		DisableGeneralOptionsHandler: true,
+	}
+	n.servers = append(n.servers, server)
+	limited := clientlimit.Listen(listener, n.clients.Gate(connectionLimit(parts)))
+	n.wg.Go(func() { _ = server.Serve(limited) })
+	return server
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -4,7 +4,6 @@
 import (
 	"context"
 	"errors"
-	"net"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -14,6 +13,7 @@
 	"curranthold.example/curranthold/internal/admission"
 	"curranthold.example/curranthold/internal/balance"
 	"curranthold.example/curranthold/internal/claim"
+	"curranthold.example/curranthold/internal/clientlimit"
 	"curranthold.example/curranthold/internal/configuration"
 	"curranthold.example/curranthold/internal/entry"
 	"curranthold.example/curranthold/internal/event"
@@ -78,8 +78,10 @@
 	// memberSnapshot needs no lock: calls of applyMembers never overlap.
 	memberSnapshot memberSnapshot
 	listeners      listeners
-	servers        []*http.Server
-	wg             conc.WaitGroup
+	// clients bounds what clients make the node hold.
+	clients *clientlimit.Budget
+	servers []*http.Server
+	wg      conc.WaitGroup
 }
 
 // generationSource implements peer.GenerationTracker with a replica of the
@@ -104,6 +106,12 @@
 		storeEra: configuration.Era(0),
 	}
 	n.retrySlack.Store(int64(s.Limits.RetrySlack))
+	n.clients = clientlimit.New(clientlimit.Limits{
+		MemoryBytes:      int64(s.Limits.MemoryBytes),
+		MaxHeadBytes:     maxHeaderBytes,
+		MaxBodyBytes:     int64(s.Limits.RequestBytes),
+		MaxResponseBytes: int64(s.Limits.AnswerBytes),
+	})
 	n.platform = platform.New(platform.Config{
 		TableAddress: s.Platform.TableAddress,
 		StoreAddress: s.Platform.ObjectStoreAddress,
@@ -115,6 +123,7 @@
 	source := new(generationSource)
 	n.pool = peer.NewPool(s.Secret(), s.PeerAddress, source)
 	n.peers = peer.NewServer(s.Secret(), source)
+	n.peers.SetMaxHandshakes(connectionLimit(peerHandshakes))
 	n.configuration = configuration.New(configuration.Config{
 		Host: s.Host, Zone: s.AvailabilityZone, Table: n.platform, Store: n.platform.Objects(),
 		Source: adapter.Source, Peers: n.pool,
@@ -173,6 +182,7 @@
 		OnBackendChange:   func(a owner.Announcement) { n.members.Announce(a.Service, a.Slots, a.Cold) },
 		IsKeyWithdrawn:    n.isKeyWithdrawn,
 		Codec:             n.adapter.Backend,
+		Clients:           n.clients,
 		Service:           n.declaredService,
 
 		RequestIDTokens: n.adapter.external(),
@@ -196,6 +206,7 @@
 		RequestBytes:      int64(n.settings.Limits.RequestBytes),
 		CallsInFlight:     n.settings.Limits.CallsInFlight,
 		BytesInFlight:     int64(n.settings.Limits.BytesInFlight),
+		Clients:           n.clients,
 		DefaultTimeout:    n.settings.DefaultTimeout(),
 		ExtraAttempts:     n.settings.Limits.ExtraAttempts,
 		DisableRetryLimit: n.settings.Limits.Disabled(settings.RetryBudget),
@@ -230,26 +241,27 @@
 	n.wg.Go(func() { _ = n.configuration.Run(control) })
 	if n.adapter.external() {
 		n.wg.Go(func() { _ = n.tally.Run(control) })
-		n.serve(n.listeners.ready, n.adapter.Readiness(n.acceptsCalls))
+		n.serve(n.listeners.ready, n.adapter.Readiness(n.acceptsCalls), readyConnections)
 		n.wg.Go(func() { n.checkBackend(control) })
 	} else {
 		n.wg.Go(func() { _ = n.quota.Run(control) })
 		n.wg.Go(func() { _ = n.claims.Run(control) })
 	}
 	n.wg.Go(func() { n.expireAnnouncements(control) })
-	n.serve(n.listeners.backend, n.backendHandler())
-	n.serve(n.listeners.operator, n.operatorHandler())
+	n.wg.Go(func() { n.clients.Run(control) })
+	n.serve(n.listeners.backend, n.backendHandler(), backendConnections)
+	n.serve(n.listeners.operator, n.operatorHandler(), operatorConnections)
 	calls := &drainHandler{handler: n.entry.CallerHandler(), refusal: n.entry.LeavingHandler()}
 	var callers *http.Server
 	if n.adapter.external() {
 		// Callers on this host know no other node, so the node serves them at once
 		// and refuses their calls until it has a configuration.
-		callers = n.serve(n.listeners.caller, n.refuseUntilConfigured(calls))
+		callers = n.serve(n.listeners.caller, n.refuseUntilConfigured(calls), callerConnections)
 	}
 	select {
 	case <-n.configuration.Ready():
 		if callers == nil {
-			callers = n.serve(n.listeners.caller, calls)
+			callers = n.serve(n.listeners.caller, calls, callerConnections)
 		}
 		n.accepting.Store(true)
 		eventReady.Log(event.Fields{
@@ -311,19 +323,3 @@
 	}
 	return errors.Join(errs...)
 }
-
-// serve starts an HTTP server with limits on the size and the read time of request
-// headers.
-func (n *Node) serve(listener net.Listener, handler http.Handler) *http.Server {
-	server := &http.Server{
-		Handler:           handler,
-		ReadHeaderTimeout: headerTimeout,
-		IdleTimeout:       idleTimeout,
-		MaxHeaderBytes:    maxHeaderBytes,
-		// A caller must not get a success that no backend server gave.
-		DisableGeneralOptionsHandler: true,
-	}
-	n.servers = append(n.servers, server)
-	n.wg.Go(func() { _ = server.Serve(listener) })
-	return server
-}
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -13,13 +13,14 @@
 
 	"curranthold.example/curranthold/internal/admission"
 	"curranthold.example/curranthold/internal/call"
+	"curranthold.example/curranthold/internal/clientlimit"
 	"curranthold.example/curranthold/internal/kernel"
 	"curranthold.example/curranthold/pkg/object"
 	"curranthold.example/curranthold/pkg/verdict"
 )
 
 // stageOrder lists the owner's stages in order.
-var stageOrder = []string{"service", "admission", "backend"}
+var stageOrder = []string{"memory", "service", "admission", "backend"}
 
 // stages is the registry of the owner's stages.
 var stages kernel.Registry[*Owner, *activeCall]
@@ -55,6 +56,8 @@
 	// ColdRateFactor is the call rate allowed for a backend server in cold start, as
 	// a multiple of the ColdRate of its service; 0 means 1.
 	ColdRateFactor float64
+	// Clients bounds the memory of calls from other nodes; nil means no bound.
+	Clients *clientlimit.Budget
 	// IdleTimeout is how long an idle connection to the backend server is kept
 	// open; 0 means a minute.
 	IdleTimeout time.Duration
@@ -223,11 +226,29 @@
 }
 
 func init() {
+	stages.Register("memory", memoryStage)
 	stages.Register("service", serviceStage)
 	stages.Register("admission", admissionStage)
 	stages.Register("backend", backendStage)
 }
 
+// memoryStage refuses a call from another node for which there is no memory. The entry on
+// this host has reserved memory for its own calls. Many entries may send large bodies to
+// one owner, whose backend server is slow.
+func memoryStage(o *Owner) kernel.Stage[*activeCall] {
+	return func(ctx context.Context, c *activeCall, next kernel.Handler[*activeCall]) error {
+		if !c.ownsHeader {
+			return next(ctx, c)
+		}
+		cost := clientlimit.HeaderCost(c.request.Header) + clientlimit.BodyCost(int64(len(c.request.Body)))
+		if !o.config.Clients.Take(clientlimit.Bodies, cost) {
+			return verdict.New(verdict.NotRun, verdict.Overloaded, "this node has no memory for more calls")
+		}
+		defer o.config.Clients.Return(clientlimit.Bodies, cost)
+		return next(ctx, c)
+	}
+}
+
 // serviceStage refuses a call if the backend server on this host does not serve the
 // call's service.
 func serviceStage(o *Owner) kernel.Stage[*activeCall] {
--- a/internal/peer/metric.go
+++ b/internal/peer/metric.go
@@ -10,6 +10,7 @@
 var (
 	metrics            = metric.NewGroup("peer")
 	connectionsOpened  = metrics.Int("connections-opened")
+	handshakesEnded    = metrics.Int("handshakes-ended")
 	connectionsRefused = metrics.Int("connections-refused")
 	callsNotSent       = metrics.Int("calls-not-sent")
 	callsBroken        = metrics.Int("calls-broken")
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -2,10 +2,12 @@
 
 import (
 	"bufio"
+	"container/list"
 	"errors"
 	"net"
 	"net/rpc"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/sourcegraph/conc"
@@ -17,6 +19,10 @@
 // progress.
 const closeTimeout = 300 * time.Millisecond
 
+// acceptRetryDelay is the time after which Serve accepts again when the process has no
+// free descriptor.
+const acceptRetryDelay = 50 * time.Millisecond
+
 // GenerationTracker supplies this node's configuration generation, which is sent
 // with every frame, and is told the generations received from other nodes.
 type GenerationTracker interface {
@@ -38,7 +44,11 @@
 	closed   bool
 	listener net.Listener
 	conns    map[net.Conn]struct{}
-	wg       conc.WaitGroup
+	// handshakes holds the connections whose handshake is not complete, the oldest
+	// first, and maxHandshakes limits their number; 0 means no limit.
+	handshakes    list.List
+	maxHandshakes int
+	wg            conc.WaitGroup
 }
 
 // NewServer returns a server that accepts connections from nodes that know the
@@ -52,6 +62,11 @@
 	}
 }
 
+// SetMaxHandshakes limits how many connections may be without a complete handshake. The
+// oldest of more is closed. Any client can open such connections, unlike those of nodes.
+// It must be called before Serve.
+func (s *Server) SetMaxHandshakes(n int) { s.maxHandshakes = n }
+
 // Register makes the receiver's methods callable as "name.Method".
 func (s *Server) Register(name string, receiver any) error {
 	return s.rpc.RegisterName(name, receiver)
@@ -71,19 +86,24 @@
 		if errors.Is(err, net.ErrClosed) {
 			return nil
 		}
+		if errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE) {
+			time.Sleep(acceptRetryDelay) // Descriptors become free when connections end.
+			continue
+		}
 		if err != nil {
 			return err
 		}
-		if s.track(conn) {
-			s.wg.Go(func() { s.serve(conn) })
+		if shaking := s.track(conn); shaking != nil {
+			s.wg.Go(func() { s.serve(conn, shaking) })
 		}
 	}
 }
 
-func (s *Server) serve(conn net.Conn) {
+func (s *Server) serve(conn net.Conn, shaking *list.Element) {
 	defer s.untrack(conn)
 	reader := bufio.NewReader(conn)
 	remote, err := serverHandshake(conn, reader, s.secret)
+	s.endHandshake(shaking)
 	if err != nil {
 		connectionsRefused.Add(1)
 		eventRefused.Log(event.Fields{"remote": conn.RemoteAddr().String(), "error": err.Error()})
@@ -92,17 +112,28 @@
 	s.rpc.ServeCodec(serverCodec{newGobConn(conn, reader, s.generations, remote)})
 }
 
-// track records an open connection, so that Close closes it. If the server is
-// closed, track closes the connection and returns false.
-func (s *Server) track(conn net.Conn) bool {
+// track records an open connection, so that Close closes it, and its handshake. If the
+// server is closed, track closes the connection and returns nil.
+func (s *Server) track(conn net.Conn) (shaking *list.Element) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.closed {
 		_ = conn.Close()
-		return false
+		return nil
+	}
+	if s.maxHandshakes > 0 && s.handshakes.Len() >= s.maxHandshakes {
+		oldest := s.handshakes.Remove(s.handshakes.Front()).(net.Conn)
+		_ = oldest.Close()
+		handshakesEnded.Add(1)
 	}
 	s.conns[conn] = struct{}{}
-	return true
+	return s.handshakes.PushBack(conn)
+}
+
+func (s *Server) endHandshake(shaking *list.Element) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.handshakes.Remove(shaking) // Does nothing if track has removed it.
 }
 
 func (s *Server) untrack(conn net.Conn) {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -117,8 +117,8 @@
 	// AnnouncementMs is how long an announcement of the backend server is valid,
 	// unless it is repeated.
 	AnnouncementMs int `json:"announcement-ms"`
-	// MemoryBytes is the memory limit of the Go runtime, which only the sidecar
-	// command sets; 0 means none.
+	// MemoryBytes is the memory limit of the node: of the Go runtime, and of what
+	// clients can make the node hold; 0 means none.
 	MemoryBytes int `json:"memory-bytes"`
 	// IdleMs is how long an idle connection to the backend server is kept open.
 	IdleMs int `json:"idle-ms"`
