Judge the status of a response before anything else of it

A faulty backend server sent a response with status 000. net/http accepts any three characters that strconv.Atoi takes for a number of at least 0: 000, 001, 099 and +20 ended the caller's connection, as the handler panicked at WriteHeader, and 101, 600, 700 and 999 were passed on as responses.

Ruled out: a check in each codec, since the status says nothing about the platform, and a check only where responses are written, since the verdict, the notices in the header and the connection would have been taken from a response that is none.

owner.Judge refuses a status outside 200 to 599 before any codec: verdict may-have-run, code status-invalid, event 803 at most once a second, counter invalid-statuses. Its header is ignored, and the connection isn't used again. The entry does the same with answers of other nodes, since those of earlier builds pass on what they get, and the client of the store with its responses; the outcome of a write is then unknown.

--- a/internal/entry/codec.go
+++ b/internal/entry/codec.go
@@ -112,6 +112,7 @@
 	verdict.BackendFailed:      http.StatusBadGateway,
 	verdict.AnswerTooLarge:     http.StatusBadGateway,
 	verdict.AnswerMismatch:     http.StatusBadGateway,
+	verdict.StatusInvalid:      http.StatusBadGateway,
 	verdict.Internal:           http.StatusInternalServerError,
 }
 
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -155,11 +155,11 @@
 	return c
 }
 
-func newEntry(t *testing.T, p *fakePeers) http.Handler {
+func newEntry(t testing.TB, p *fakePeers) http.Handler {
 	return newEntryWith(t, p, unlimitedQuota{}, nil)
 }
 
-func newEntryWith(t *testing.T, p *fakePeers, tokens entry.Quota, extra map[string]object.Spec) http.Handler {
+func newEntryWith(t testing.TB, p *fakePeers, tokens entry.Quota, extra map[string]object.Spec) http.Handler {
 	specs := map[string]object.Spec{
 		"peals":   object.ServiceSpec{},
 		"records": object.RouteSpec{PathPrefix: "/records", Service: "peals", Urgency: object.Normal, NonRepeatable: true, Open: true},
--- a/internal/entry/metric.go
+++ b/internal/entry/metric.go
@@ -17,6 +17,7 @@
 	metricLatency          = metrics.Histogram("served-latency-us")
 	metricRefusalLatency   = metrics.Histogram("refused-latency-us")
 	metricLinesDropped     = metrics.Int("log-lines-left-out")
+	metricInvalidStatuses  = metrics.Int("invalid-statuses")
 	metricClaimsUnfinished = metrics.Int("claims-unfinished")
 )
 
--- a/internal/entry/remote.go
+++ b/internal/entry/remote.go
@@ -9,6 +9,7 @@
 	"curranthold.example/curranthold/internal/balance"
 	"curranthold.example/curranthold/internal/call"
 	"curranthold.example/curranthold/internal/event"
+	"curranthold.example/curranthold/internal/httpstatus"
 	"curranthold.example/curranthold/internal/peer"
 	"curranthold.example/curranthold/pkg/verdict"
 )
@@ -76,6 +77,11 @@
 	case !answer.Matches(a.request):
 		result.err = verdict.New(verdict.MayHaveRun, verdict.AnswerMismatch,
 			"host %s sent a damaged answer or one to another call", a.host.ID)
+	case answer.Err == nil && !httpstatus.IsFinal(answer.Status):
+		// Nodes of earlier builds pass on what their backend servers send.
+		metricInvalidStatuses.Add(1)
+		result.err = verdict.New(verdict.MayHaveRun, verdict.StatusInvalid,
+			"host %s sent status %d, which is none of a final response", a.host.ID, answer.Status)
 	default:
 		result.answer = answer
 	}
--- a/internal/owner/answer.go
+++ b/internal/owner/answer.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"curranthold.example/curranthold/internal/call"
+	"curranthold.example/curranthold/internal/event"
 	"curranthold.example/curranthold/pkg/verdict"
 )
 
@@ -54,18 +55,35 @@
 // judge checks that the response is the result of the request; see [Judge].
 func (o *Owner) judge(b *backend, r *call.Request, response *http.Response) error {
 	echo := o.config.Codec.Echo(r, response)
-	if echo == EchoSame {
-		b.echoes.Store(true)
-	}
 	err := Judge(o.config.Codec, r, response, echo, b.echoes.Load())
-	if err != nil && verdict.From(err).Code == verdict.AnswerMismatch {
-		// To net/http a connection is idle after a response without a body, although
-		// the request's own response may follow on it.
-		b.transport.CloseIdleConnections()
+	if isResponse(err) {
+		if echo == EchoSame {
+			b.echoes.Store(true)
+		}
+		return err
+	}
+	// To net/http a connection is idle after a response without a body, although the
+	// request's own response may follow on it.
+	b.transport.CloseIdleConnections()
+	if verdict.From(err).Code == verdict.StatusInvalid {
+		metricInvalidStatuses.Add(1)
+		if statusLog.Allow() {
+			eventStatusInvalid.Log(event.Fields{"request": r.RequestID, "service": r.Service, "status": response.StatusCode})
+		}
 	}
 	return err
 }
 
+// isResponse reports whether err, an error of Judge or nil, is for a response to the
+// request.
+func isResponse(err error) bool {
+	if err == nil {
+		return true
+	}
+	code := verdict.From(err).Code
+	return code != verdict.AnswerMismatch && code != verdict.StatusInvalid
+}
+
 // discard reads the body of a response that refuses the call, so that its connection
 // can be used again, unless the body is too large or too slow. The caller must close
 // the body.
--- a/internal/owner/backend.go
+++ b/internal/owner/backend.go
@@ -111,7 +111,7 @@
 	}
 	defer func() { _ = response.Body.Close() }()
 	err = o.judge(b, c.request, response)
-	if err == nil || verdict.From(err).Code != verdict.AnswerMismatch {
+	if isResponse(err) {
 		o.observeNotice(b, o.config.Codec.Notice(response))
 	}
 	if err != nil {
--- a/internal/owner/codec.go
+++ b/internal/owner/codec.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"curranthold.example/curranthold/internal/call"
+	"curranthold.example/curranthold/internal/httpstatus"
 	"curranthold.example/curranthold/pkg/header"
 	"curranthold.example/curranthold/pkg/verdict"
 )
@@ -69,8 +70,13 @@
 // Judge returns nil if the response is the result of the request, and otherwise an
 // error with a verdict. Echo says which request the response names. With echoes set, the
 // backend server has named the request in an earlier response and is expected to do so in
-// all, so that a response without the name is a late copy of another request's.
+// all, so that a response without the name is a late copy of another request's. A response
+// without a final status is none, whatever its header says.
 func Judge(codec Codec, r *call.Request, response *http.Response, echo Echo, echoes bool) error {
+	if !httpstatus.IsFinal(response.StatusCode) {
+		return verdict.New(verdict.MayHaveRun, verdict.StatusInvalid,
+			"the backend server sent status %d, which is none of a final response", response.StatusCode)
+	}
 	if echo == EchoOther || (echo == EchoMissing && echoes) {
 		return verdict.New(verdict.MayHaveRun, verdict.AnswerMismatch, "the backend server answered another request")
 	}
--- a/internal/owner/event.go
+++ b/internal/owner/event.go
@@ -1,6 +1,8 @@
 package owner
 
 import (
+	"golang.org/x/time/rate"
+
 	"curranthold.example/curranthold/internal/event"
 	"curranthold.example/curranthold/internal/metric"
 )
@@ -12,12 +14,19 @@
 		"The backend server on this host was withdrawn: it is leaving or has departed, refused a connection, or stopped announcing itself.")
 	eventRateInvalid = event.New(802, "backend-rate-invalid", event.Warn,
 		"The backend server on this host names a rate of requests that is not a number of at least 0; it is ignored. Logged once.")
+	eventStatusInvalid = event.New(803, "backend-status-invalid", event.Warn,
+		"The backend server on this host sent a response whose status is not between 200 and 599. It is not passed on, and the request may have run. Logged at most once a second.")
 )
 
+// statusLog limits the log lines about invalid statuses, in lines a second.
+var statusLog = rate.NewLimiter(1, 1)
+
 var (
 	metrics       = metric.NewGroup("owner")
 	metricServed  = metrics.Int("served")
 	metricRefused = metrics.IntMap("refused-by-code")
-	metricWait    = metrics.Histogram("admission-wait-us")
-	metricBackend = metrics.Histogram("backend-latency-us")
+
+	metricInvalidStatuses = metrics.Int("invalid-statuses")
+	metricWait            = metrics.Histogram("admission-wait-us")
+	metricBackend         = metrics.Histogram("backend-latency-us")
 )
--- a/internal/platform/metrics.go
+++ b/internal/platform/metrics.go
@@ -15,6 +15,7 @@
 	circuitOpenedCount  = metrics.Int("circuits-opened")
 	sentBytes           = metrics.Int("sent-bytes")
 	receivedBytes       = metrics.Int("received-bytes")
+	invalidStatuses     = metrics.Int("invalid-statuses")
 )
 
 // errorCounts holds the counters of those of the package's errors that are counted.
--- a/internal/platform/service.go
+++ b/internal/platform/service.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"curranthold.example/curranthold/internal/event"
+	"curranthold.example/curranthold/internal/httpstatus"
 )
 
 // service is an HTTP client of one service of the platform.
@@ -122,6 +123,11 @@
 		return serviceResponse{}, err
 	}
 	defer func() { _ = resp.Body.Close() }()
+	if !httpstatus.IsFinal(resp.StatusCode) {
+		s.http.CloseIdleConnections() // One without a body counts as idle already.
+		invalidStatuses.Add(1)
+		return serviceResponse{}, fmt.Errorf("status %d, which is none of a final response", resp.StatusCode)
+	}
 	body, err := io.ReadAll(io.LimitReader(resp.Body, r.maxResponseBytes+1))
 	receivedBytes.Add(int64(len(body)))
 	if err != nil {
--- a/pkg/verdict/code.go
+++ b/pkg/verdict/code.go
@@ -36,6 +36,7 @@
 	BackendFailed      Code = "backend-failed"
 	AnswerTooLarge     Code = "answer-too-large"
 	AnswerMismatch     Code = "answer-mismatch"
+	StatusInvalid      Code = "status-invalid"
 	Cancelled          Code = "cancelled"
 	NotReady           Code = "not-ready"
 	Internal           Code = "internal"
