--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -120,8 +120,8 @@
 	// AnnouncementMs is how long an announcement of the backend server is valid,
 	// unless it is repeated.
 	AnnouncementMs int `json:"announcement-ms"`
-	// MemoryBytes is the memory limit of the Go runtime, which only the sidecar
-	// command sets; 0 means none.
+	// MemoryBytes is the memory limit of the node: of the Go runtime, and of what
+	// clients can make the node hold; 0 means none.
 	MemoryBytes int `json:"memory-bytes"`
 	// CanaryPercent is the largest percentage of a service's requests that a bad version
 	// may get during its rollout, in addition to CanarySlack requests. 0 disables
