Warm the old version up before the rollouts of the fleet tests

In one of several runs 12 of 1,936 requests of TestBadRollout were refused with cold-start and overloaded, because the load began while the old hosts' concurrency limits were still at a twentieth of their slots. The tests now wait until they have a quarter. Sequential requests don't raise a limit: with them 10 of 12 runs timed out in that wait.

--- a/internal/node/rollout_fleet_test.go
+++ b/internal/node/rollout_fleet_test.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"net/http/httptest"
 	"os"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -89,6 +90,14 @@
 	for i := range rolloutHosts {
 		f.await("requests are served by all", func() bool { return f.send(i) == http.StatusOK })
 	}
+	f.await("the old version is warm", func() bool {
+		var wg sync.WaitGroup
+		for i := range rolloutSlots {
+			wg.Go(func() { f.send(i % rolloutHosts) }) // A limit is raised only while it is reached.
+		}
+		wg.Wait()
+		return !slices.ContainsFunc(f.old, func(h *rolloutHost) bool { return h.node.admission.Load().Limit < rolloutSlots/4 })
+	})
 	f.refused.Clear()
 	return f
 }
