--- a/internal/rollout/outcome_test.go
+++ b/internal/rollout/outcome_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"testing"
@@ -230,6 +231,9 @@
 					qt.Assert(t, float64(own) <= fraction+1 && float64(own) >= fraction-1.01, qt.IsTrue, qt.Commentf("%d", own))
 					chosen += own
 				}
+				// The roundings of n entries deviate by at most sqrt(n)/2; four times that.
+				off := math.Abs(float64(chosen) - canaryPart*testShare*float64(entries*calls))
+				qt.Assert(t, off <= 2*math.Sqrt(float64(entries))+1, qt.IsTrue, qt.Commentf("%d", chosen))
 				qt.Assert(t, chosen <= int(testShare*float64(entries*calls))+testSlack, qt.IsTrue, qt.Commentf("%d", chosen))
 			})
 		}
