Report not-run for calls that were never offered to a backend server

Requests that never reached a backend server ended with 502 or 504 in several places, and their callers could not repeat them if they are not repeatable.

The owner's reply to a cancel message now says whether the call is known not to have run: it ended so, or it was still queued and is withdrawn by the same message. A call is offered or withdrawn, whichever comes first, so the claim holds also while both happen at once. Owners of earlier builds don't set the field, which means that nothing is known; of calls that have not arrived nothing is claimed either. The entry waits for this reply up to 15 ms after the deadline or after its caller went away, and before the deadline, for requests that may not be repeated, up to a quarter of the remaining time.

Further places: a connection to the backend server that broke before anything of the request was written to it (the connection is sealed first, since net/http writes in the background); an attempt left at an unresponsive host, whose late answer decides instead of the guess made before; a hedge beside such an attempt; a host without a method for the calls. Refusals carry no Retry-After if the caller has no time left, and one of at most a third of the time that it has.

Ruled out: claiming not-run for a call that the owner doesn't know, since an early cancel may be forgotten before the call arrives.

--- a/internal/call/call.go
+++ b/internal/call/call.go
@@ -114,4 +114,7 @@
 // Cancel asks an owner to cancel the call whose Request.ID is ID.
 type Cancel struct {
 	ID string
+	// NotRun is set in the reply if the call has not run and never will. Owners of
+	// earlier builds don't set it.
+	NotRun bool
 }
--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 	"net/http"
 	"strconv"
@@ -28,9 +29,9 @@
 			return err
 		}
 		e.countFirstAttempt(x)
-		attemptsCtx, cancel := context.WithCancel(ctx)
-		defer cancel()
-		x.late.ctx, x.late.interrupt = ctx, cancel
+		attemptsCtx, cancel := context.WithCancelCause(ctx)
+		defer cancel(nil)
+		x.late.ctx, x.late.interrupt = ctx, func() { cancel(errSuperseded) }
 		defer x.late.abandon()
 		failure := e.sendToHosts(attemptsCtx, x)
 		if failure == nil {
@@ -66,7 +67,7 @@
 			return lastFailure // All hosts have been tried.
 		}
 		lastFailure = failure
-		x.mayHaveRun = x.mayHaveRun || failure.Verdict == verdict.MayHaveRun
+		x.mayHaveRun = x.mayHaveRun || (failure.Verdict == verdict.MayHaveRun && !errors.Is(err, errPending))
 		if !e.mayRetry(ctx, x, failure, offered) {
 			return failure
 		}
@@ -163,6 +164,9 @@
 	}
 	// Two attempts at once would both make the nested calls, and these need not be
 	// repeatable.
+	if !e.config.NoCallTokens && x.late.unanswered() {
+		x.mayHaveRun = true
+	}
 	if !e.config.NoCallTokens && !x.late.abandonUnserved() {
 		return "", false, verdict.New(verdict.NotRun, verdict.Cancelled, "an earlier attempt was served")
 	}
@@ -265,7 +269,7 @@
 	case <-unresponsive:
 		x.late.add(e, a)
 		failure := verdict.New(verdict.MayHaveRun, verdict.PeerExchangeBroken, "host %s is unresponsive", host.ID)
-		return &sendResult{host: host, err: failure}
+		return &sendResult{host: host, err: errors.Join(errPending, failure)}
 	}
 }
 
--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -59,5 +59,6 @@
 // not have. It has then not handled the call.
 func isUnknownMethod(err error) bool {
 	var remote rpc.ServerError
-	return errors.As(err, &remote) && strings.HasPrefix(string(remote), "rpc: can't find method")
+	return errors.As(err, &remote) && (strings.HasPrefix(string(remote), "rpc: can't find method") ||
+		strings.HasPrefix(string(remote), "rpc: can't find service"))
 }
--- a/internal/entry/hedge.go
+++ b/internal/entry/hedge.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"sync"
 	"time"
@@ -122,15 +123,15 @@
 	if delay == 0 {
 		return e.send(ctx, x, host, request)
 	}
-	primaryCtx, cancelPrimary := context.WithCancel(ctx)
-	defer cancelPrimary()
-	hedgeCtx, cancelHedge := context.WithCancel(ctx)
-	defer cancelHedge()
+	primaryCtx, cancelPrimary := context.WithCancelCause(ctx)
+	defer cancelPrimary(nil)
+	hedgeCtx, cancelHedge := context.WithCancelCause(ctx)
+	defer cancelHedge(nil)
 	hedgeResults := make(chan *sendResult, 1)
 	timer := time.AfterFunc(delay, func() {
 		hedge := e.sendHedge(hedgeCtx, x, request, append([]string{host.ID}, excluded...))
 		if hedge != nil && hedge.served() {
-			cancelPrimary()
+			cancelPrimary(errSuperseded)
 		}
 		hedgeResults <- hedge
 	})
@@ -139,9 +140,21 @@
 		return primary
 	}
 	if primary.served() {
-		cancelHedge()
+		cancelHedge(errSuperseded)
 	}
-	return e.chooseResult(primary, <-hedgeResults)
+	hedge := <-hedgeResults
+	x.noteHedge(primary, hedge)
+	return e.chooseResult(primary, hedge)
+}
+
+// noteHedge records that the hedge may have run if neither result is served. The result
+// of the primary alone may not say so: if the primary goes on at an unresponsive host, its
+// late result may be that it has not run.
+func (x *activeCall) noteHedge(primary, hedge *sendResult) {
+	if primary.served() || hedge == nil || hedge.served() || !hedge.mayHaveRun() {
+		return
+	}
+	x.mayHaveRun = x.mayHaveRun || !errors.Is(hedge.err, errPending)
 }
 
 // chooseResult returns the result of the call that was served. If neither was, it
--- a/internal/entry/late.go
+++ b/internal/entry/late.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 
 	"curranthold.example/curranthold/pkg/verdict"
@@ -21,17 +22,28 @@
 	served  bool
 	results chan *sendResult
 	lateCtx context.Context
-	stop    context.CancelFunc
+	stop    context.CancelCauseFunc
 	stopped chan struct{}
 }
 
+// errPending marks the error of an attempt that goes on: whether it has run is known
+// only from its late result.
+var errPending = errors.New("entry: the attempt goes on")
+
+// unanswered reports whether the results of attempts are still missing.
+func (l *lateResults) unanswered() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.pending > 0
+}
+
 // add leaves an attempt that has not ended to l.
 func (l *lateResults) add(e *Entry, a *remoteAttempt) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.results == nil {
 		l.results, l.stopped = make(chan *sendResult), make(chan struct{})
-		l.lateCtx, l.stop = context.WithCancel(l.ctx)
+		l.lateCtx, l.stop = context.WithCancelCause(l.ctx)
 	}
 	l.pending++
 	results, stopped := l.results, l.stopped
@@ -95,7 +107,7 @@
 	if l.results == nil {
 		return
 	}
-	l.stop()
+	l.stop(errSuperseded)
 	close(l.stopped)
 	l.pending, l.results, l.stopped = 0, nil, nil
 }
--- a/internal/entry/remote.go
+++ b/internal/entry/remote.go
@@ -19,8 +19,19 @@
 	answerGrace = 3 * time.Millisecond
 	// cancelTimeout bounds the sending of a cancel message to an owner.
 	cancelTimeout = 200 * time.Millisecond
+	// verdictWait is how long the entry waits for the reply to a cancel message after
+	// the deadline of a call or after its caller went away. The reply may say that the
+	// call has not run. Callers don't wait longer than that.
+	verdictWait = 15 * time.Millisecond
+	// verdictWaitDivisor divides the remaining time to give the time that the entry
+	// waits for that reply before the deadline.
+	verdictWaitDivisor = 4
 )
 
+// errSuperseded is the cause with which an attempt is cancelled because another attempt
+// of its call was served, or because nobody needs its result.
+var errSuperseded = errors.New("entry: superseded by another attempt")
+
 // remoteAttempt is an attempt at another host.
 type remoteAttempt struct {
 	host    balance.Host
@@ -33,7 +44,9 @@
 	// isUnresponsive is set, and unresponsive closed, when the host becomes
 	// unresponsive.
 	isUnresponsive atomic.Bool
-	unresponsive   chan struct{}
+	// superseded is set if the attempt was cancelled with errSuperseded.
+	superseded   atomic.Bool
+	unresponsive chan struct{}
 }
 
 // startRemote starts an attempt, which ends when it is answered, at the deadline of the
@@ -56,6 +69,7 @@
 func (a *remoteAttempt) follow(ctx context.Context) (unfollow func() bool) {
 	return context.AfterFunc(ctx, func() {
 		if errors.Is(ctx.Err(), context.Canceled) {
+			a.superseded.Store(errors.Is(context.Cause(ctx), errSuperseded))
 			a.cancel()
 		}
 	})
@@ -107,7 +121,8 @@
 }
 
 // unansweredError returns the error of an attempt that ended without an answer, and
-// cancels the call at the owner if it was sent.
+// cancels the call at the owner if it was sent. The call has not run if it was not sent,
+// if the host has no method for it, or if the owner says so.
 func (e *Entry) unansweredError(a *remoteAttempt, err error) error {
 	host := a.host
 	if errors.Is(err, peer.ErrNotSent) {
@@ -116,23 +131,72 @@
 		}
 		return verdict.New(verdict.NotRun, verdict.PeerUnreachable, "host %s: %v", host.ID, err)
 	}
-	e.wg.Go(func() { e.cancelRemote(host, a.request.ID) })
+	if isUnknownMethod(err) {
+		return verdict.New(verdict.NotRun, verdict.PeerUnreachable, "host %s: %v", host.ID, err)
+	}
+	v := verdict.MayHaveRun
+	if e.withdraw(a) {
+		v = verdict.NotRun
+	}
 	if errors.Is(a.ctx.Err(), context.Canceled) {
-		return verdict.New(verdict.MayHaveRun, verdict.Cancelled, "the caller went away")
+		return verdict.New(v, verdict.Cancelled, "the caller went away")
 	}
-	if !a.isUnresponsive.Load() {
+	if !a.isUnresponsive.Load() && v != verdict.NotRun {
 		e.config.Balancer.RecordUnreachable(host.ID, time.Now())
 	}
 	if deadline, _ := a.ctx.Deadline(); time.Until(deadline) <= answerGrace {
-		return verdict.New(verdict.MayHaveRun, verdict.DeadlineExceeded, "host %s did not answer in time", host.ID)
+		return verdict.New(v, verdict.DeadlineExceeded, "host %s did not answer in time", host.ID)
+	}
+	if v == verdict.NotRun {
+		return verdict.New(v, verdict.PeerUnreachable, "host %s: %v; it has not run the request", host.ID, err)
+	}
+	return verdict.New(v, verdict.PeerExchangeBroken, "host %s: %v", host.ID, err)
+}
+
+// withdraw cancels the call at the owner. It reports whether the owner replied within
+// the time of withdrawWait that the call has not run and never will.
+func (e *Entry) withdraw(a *remoteAttempt) bool {
+	notRun := make(chan bool, 1)
+	e.wg.Go(func() { notRun <- e.cancelRemote(a.host, a.request.ID) })
+	wait := e.withdrawWait(a)
+	if wait <= 0 {
+		return false
+	}
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case known := <-notRun:
+		return known
+	case <-timer.C:
+		return false
+	}
+}
+
+// withdrawWait returns how long to wait for the reply to the cancel message of an
+// attempt that ended without an answer: not at all if nobody needs its verdict or the
+// host is unresponsive. Before the deadline only requests that may not be repeated wait,
+// since others are sent again whatever the verdict is.
+func (e *Entry) withdrawWait(a *remoteAttempt) time.Duration {
+	if a.superseded.Load() || a.isUnresponsive.Load() {
+		return 0
+	}
+	deadline, _ := a.ctx.Deadline()
+	left := time.Until(deadline) - answerGrace
+	switch {
+	case a.ctx.Err() != nil || left <= 0:
+		return verdictWait
+	case e.mayRepeat(a.request):
+		return 0
 	}
-	return verdict.New(verdict.MayHaveRun, verdict.PeerExchangeBroken, "host %s: %v", host.ID, err)
+	return min(left/verdictWaitDivisor, cancelTimeout)
 }
 
 // cancelRemote asks the owner on the host to cancel a call whose answer is no longer
-// awaited.
-func (e *Entry) cancelRemote(host balance.Host, id string) {
+// awaited. It reports whether the owner replied that the call has not run.
+func (e *Entry) cancelRemote(host balance.Host, id string) (notRun bool) {
 	ctx, cancel := context.WithTimeout(context.Background(), cancelTimeout)
 	defer cancel()
-	_ = e.config.Peers.Call(ctx, host.Address, "Owner.Cancel", &call.Cancel{ID: id}, new(call.Cancel))
+	var reply call.Cancel
+	err := e.config.Peers.Call(ctx, host.Address, "Owner.Cancel", &call.Cancel{ID: id}, &reply)
+	return err == nil && reply.NotRun
 }
--- a/internal/entry/retry_after.go
+++ b/internal/entry/retry_after.go
@@ -14,12 +14,17 @@
 	// minRetryAfter and maxRetryAfter bound the mean delay.
 	minRetryAfter = 50 * time.Millisecond
 	maxRetryAfter = time.Second
+	// remainingRetryDivisor divides the time that the caller has left to give the
+	// longest delay: callers don't wait longer for a retry.
+	remainingRetryDivisor = 3
+	// minRetryTime is the time that a caller must have left to retry at all.
+	minRetryTime = 10 * time.Millisecond
 )
 
 // retryAfterFor returns the delay after which the caller of a refused request should
-// retry, or 0 if the request may have run or the delay is unknown. A delay given by
-// the failure is returned unchanged. A delay computed here has random jitter, so that
-// callers that were refused together don't retry together.
+// retry, or 0 if the request may have run, the delay is unknown or the caller has no time
+// left. A delay given by the failure is returned unchanged. A delay computed here has
+// random jitter, so that callers that were refused together don't retry together.
 func retryAfterFor(x *activeCall, failure *verdict.Error) time.Duration {
 	if failure.Verdict != verdict.NotRun {
 		return 0
@@ -30,6 +35,10 @@
 	if x.timeout <= 0 {
 		return 0
 	}
+	left := x.timeout - time.Since(x.arrived)
+	if left < minRetryTime {
+		return 0
+	}
 	mean := min(max(x.timeout/retryAfterDivisor, minRetryAfter), maxRetryAfter)
-	return mean*3/4 + rand.N(mean/2)
+	return min(mean*3/4+rand.N(mean/2), left/remainingRetryDivisor)
 }
--- a/internal/owner/answer.go
+++ b/internal/owner/answer.go
@@ -29,12 +29,12 @@
 	defaultLargeAnswers = 3
 )
 
-// roundTripError returns the error of a roundTrip that failed with err. If connected
-// is set, the call may have run.
-func roundTripError(ctx context.Context, err error, connected bool) error {
+// roundTripError returns the error of a roundTrip that failed with err. If offered is
+// set, the call may have run.
+func roundTripError(ctx context.Context, err error, offered bool) error {
 	v := verdict.MayHaveRun
 	code := verdict.BackendBroken
-	if !connected {
+	if !offered {
 		v = verdict.NotRun
 		code = verdict.BackendUnreachable
 	}
--- a/internal/owner/backend.go
+++ b/internal/owner/backend.go
@@ -7,6 +7,7 @@
 	"errors"
 	"io"
 	"maps"
+	"net"
 	"net/http"
 	"net/http/httptrace"
 	"net/url"
@@ -50,7 +51,7 @@
 		startMs:      startMs,
 		echoes:       new(atomic.Bool),
 		transport: &http.Transport{
-			DialContext:         socket.Dialer(connectTimeout).DialContext,
+			DialContext:         dialBackend,
 			MaxConnsPerHost:     a.Connections,
 			MaxIdleConnsPerHost: max(a.Slots, 1),
 			IdleConnTimeout:     cmp.Or(config.IdleTimeout, connectionIdleTimeout),
@@ -61,6 +62,15 @@
 	}
 }
 
+// dialBackend opens a connection to a backend server.
+func dialBackend(ctx context.Context, network, address string) (net.Conn, error) {
+	conn, err := socket.Dialer(connectTimeout).DialContext(ctx, network, address)
+	if err != nil {
+		return nil, err
+	}
+	return &offerConn{Conn: conn}, nil
+}
+
 // singleUseBody is the body of a request. It hides the type of its reader from
 // net/http, which would otherwise resend the request by itself when a connection
 // breaks.
@@ -80,6 +90,9 @@
 		if b == nil {
 			return verdict.New(verdict.NotRun, verdict.BackendUnreachable, "the backend server has left")
 		}
+		if !c.offer.begin() {
+			return verdict.New(verdict.NotRun, verdict.Cancelled, "cancelled before the request ran")
+		}
 		c.parent = &Parent{
 			ctx:     ctx,
 			request: c.request,
@@ -97,16 +110,29 @@
 }
 
 // roundTrip sends one HTTP request and reads the response. The verdict of its error
-// is NotRun only if the request is invalid, no connection was obtained, or the
-// response has the header Refused.
+// is NotRun only if the request is invalid, nothing of it was written to a connection,
+// or the response has the header Refused.
 func (o *Owner) roundTrip(ctx context.Context, b *backend, c *activeCall, token string) error {
-	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { c.answer.Offered = true }}
+	var conn *offerConn // nil if net/http has used a second connection
+	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
+		conn = nil
+		if !c.answer.Offered {
+			conn, _ = info.Conn.(*offerConn)
+		}
+		c.answer.Offered = true
+		if conn != nil {
+			conn.use()
+		}
+	}}
 	request, err := o.newRequest(httptrace.WithClientTrace(ctx, trace), b, c, token)
 	if err != nil {
 		return verdict.New(verdict.NotRun, verdict.BadRequest, "%v", err)
 	}
 	response, err := b.transport.RoundTrip(request)
 	if err != nil {
+		if conn != nil && conn.seal() {
+			c.answer.Offered = false
+		}
 		return roundTripError(ctx, err, c.answer.Offered)
 	}
 	defer func() { _ = response.Body.Close() }()
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -72,6 +72,9 @@
 	answer     *call.Answer
 	permit     *admission.Permit
 	parent     *Parent
+	// cancel ends the call, and offer decides whether it may still be offered.
+	cancel context.CancelFunc
+	offer  offer
 }
 
 // Owner handles the calls for the backend server on its host.
@@ -88,9 +91,10 @@
 
 	mu      sync.Mutex
 	backend *backend
-	// running maps the ID of each attempt that the owner is handling to the function
-	// that cancels it.
-	running map[string]context.CancelFunc
+	// running maps the ID of each attempt that the owner is handling to its call.
+	running map[string]*activeCall
+	// notRun holds the IDs of attempts that have ended with verdict not-run.
+	notRun recentIDs
 	// earlyCancels are used up by the attempts that they precede.
 	earlyCancels  earlyCancels
 	lastAnnounced time.Time
@@ -106,7 +110,7 @@
 	if config.Codec == nil {
 		config.Codec = defaultCodec{}
 	}
-	o := &Owner{config: config, running: make(map[string]context.CancelFunc)}
+	o := &Owner{config: config, running: make(map[string]*activeCall)}
 	o.largeAnswers = make(chan *bytes.Buffer, cmp.Or(config.LargeAnswers, defaultLargeAnswers))
 	for range cap(o.largeAnswers) {
 		o.largeAnswers <- new(bytes.Buffer)
@@ -129,8 +133,9 @@
 	request, answer := c.request, c.answer
 	ctx, cancel := context.WithTimeout(ctx, request.Remaining)
 	defer cancel()
-	o.addRunning(request.ID, cancel)
-	defer o.removeRunning(request.ID)
+	c.cancel = cancel
+	o.addRunning(c)
+	defer o.removeRunning(c)
 
 	answer.ID = request.ID
 	defer answer.Seal()
@@ -156,31 +161,41 @@
 // RequestID if Config.RequestIDTokens is set.
 func (o *Owner) Parent(token string) (*Parent, bool) { return o.callTokens.lookup(token) }
 
-func (o *Owner) addRunning(id string, cancel context.CancelFunc) {
+func (o *Owner) addRunning(c *activeCall) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	o.running[id] = cancel
-	if o.earlyCancels.take(id) {
-		cancel()
+	o.running[c.request.ID] = c
+	if o.earlyCancels.take(c.request.ID) {
+		c.cancel()
 	}
 }
 
-func (o *Owner) removeRunning(id string) {
+func (o *Owner) removeRunning(c *activeCall) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	delete(o.running, id)
+	delete(o.running, c.request.ID)
+	if c.answer.Err != nil && c.answer.Err.Verdict == verdict.NotRun && !c.answer.NonRepeatable {
+		o.notRun.add(c.request.ID)
+	}
 }
 
 // cancel cancels the call with the given attempt identifier, also if it arrives later.
-func (o *Owner) cancel(id string) {
+// It reports whether the call is known not to have run and never will: it has ended so,
+// or it was not yet offered to the backend server and now won't be. Of a call that has
+// not arrived it makes no claim, since early cancels are forgotten after a while.
+func (o *Owner) cancel(id string) (notRun bool) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	cancel := o.running[id]
-	if cancel == nil {
-		o.earlyCancels.add(id)
-		return
+	c := o.running[id]
+	switch {
+	case c != nil:
+		c.cancel()
+		return c.offer.withdraw()
+	case o.notRun.contains(id):
+		return true
 	}
-	cancel()
+	o.earlyCancels.add(id)
+	return false
 }
 
 // CancelCalls cancels all calls that the owner is handling. A call that was already
@@ -188,8 +203,8 @@
 func (o *Owner) CancelCalls() {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	for _, cancel := range o.running {
-		cancel()
+	for _, c := range o.running {
+		c.cancel()
 	}
 }
 
@@ -220,9 +235,10 @@
 // Ping returns nil, which shows that the owner is reachable.
 func (r *RPC) Ping(*call.Ping, *call.Ping) error { return nil }
 
-// Cancel cancels a call whose entry no longer waits for the answer.
-func (r *RPC) Cancel(request *call.Cancel, _ *call.Cancel) error {
-	r.owner.cancel(request.ID)
+// Cancel cancels a call whose entry no longer waits for the answer. The reply says
+// whether the call is known not to have run.
+func (r *RPC) Cancel(request, reply *call.Cancel) error {
+	reply.NotRun = r.owner.cancel(request.ID)
 	return nil
 }
 
