Admit root requests by the capacity of their whole call tree

A service at the bottom of a call tree that can't serve its load refuses nested calls after all services above it have done their work. Entries learnt this from refusals only, each from its own calls (balance.Throttle).

Owners of services without a declared cold rate now estimate the demand of their callers by urgency, with each call counted by the probability with which its root request was admitted, and report an admission level in the load hint. Owners of callers pass on the level of the service with the least capacity beneath a route. The entry of a root request admits it by the level of its route, urgent requests first, and refuses it before quota and any other work, with a Retry-After within a third of the time left. Nothing beneath a running parent is refused by it. Levels end at once with reports of capacity, and within about a second without reports. The level of a host whose backend server fails or refuses half of its requests or more doesn't count.

The setting tree-admission is off by default, on with the platform's adapter and ignored without one. New fields are at the end of the packed messages and left out if they are zero, so that messages are unchanged without the setting. TestPackedExtended sets the new fields before it appends unknown ones, since what it appended would now be read as a known field; TestPackedEarlier is new. Refusals by services with levels no longer count for the throttle, and hosts with levels no longer report which urgencies they shed, since entries that refuse by themselves would hide the demand.

Not measured on real processes.

--- a/internal/admission/config.go
+++ b/internal/admission/config.go
@@ -74,6 +74,8 @@
 	// Warm reports whether the backend server is known to be warm, so that the
 	// limit starts at the slots. It has no effect if Cold or ColdRate is set.
 	Warm bool
+	// Levelled makes the Controller report an admission level in its Load.
+	Levelled bool
 	// Incarnation changes each time the backend server starts.
 	Incarnation string
 	// ColdRate is the number of requests a second that the backend server can
@@ -119,4 +121,10 @@
 	MaxWait time.Duration
 	// NonRepeatable reports whether the request must not run twice.
 	NonRepeatable bool
+	// AdmitProbability is the probability with which the root request was admitted;
+	// 0 means 1.
+	AdmitProbability float64
+	// DemandCounted reports whether another host of the service has counted the request
+	// as demand and then refused it.
+	DemandCounted bool
 }
--- a/internal/admission/controller.go
+++ b/internal/admission/controller.go
@@ -33,6 +33,7 @@
 	lastEvicted  [object.UrgencyCount]time.Time
 	serviceTimes [object.UrgencyCount]serviceTime
 	reserve      reserve
+	demand       demand
 	failureRate  failureRate
 	running      [object.UrgencyCount]int
 	inFlight     int
@@ -74,6 +75,9 @@
 		c.failureRate = failureRate{}
 		c.namedRate = namedRate{}
 	}
+	if a.Levelled != c.demand.enabled {
+		c.demand = demand{enabled: a.Levelled}
+	}
 	c.announced = true
 	c.incarnation = a.Incarnation
 	c.limiter.coldRateAnnounced = a.ColdRate > 0
@@ -167,6 +171,7 @@
 	defer c.mu.Unlock()
 	now := c.now()
 	c.normalize(&r)
+	c.demand.observe(&r)
 	if refusal := c.refusal(&r, now); refusal != nil {
 		return nil, nil, refusal
 	}
@@ -299,6 +304,7 @@
 	now := c.now()
 	finishedCount[min(outcome, Abandoned)].Add(1)
 	c.reserve.remove(p, now)
+	c.demand.observeEnd(outcome, now.Sub(p.start))
 	c.inFlight--
 	c.running[p.urgency]--
 	ended := p.sample(outcome, c.inFlight, now)
@@ -318,6 +324,7 @@
 	queuedGauge.Set(int64(c.queue.length))
 	limitGauge.Set(int64(c.limiter.allowed()))
 	namedRateGauge.Set(int64(c.namedRate.pacer.rate))
+	closedGauge.Set(int64(100 * c.demand.closed))
 }
 
 // countRefusal counts the refusal by its code and returns it.
--- a/internal/admission/load.go
+++ b/internal/admission/load.go
@@ -28,8 +28,22 @@
 	// FailingPercent is the percentage of recent requests that the backend
 	// server itself refused, failed or broke off.
 	FailingPercent int `json:"failing-percent"`
+	// Levelled reports whether Closed is an admission level that this host has
+	// computed. Hosts of earlier builds don't set it.
+	Levelled bool `json:"levelled,omitempty"`
+	// Closed is the admission level: how many urgencies, counted from the least
+	// urgent, exceed the capacity of the backend server. The urgency of which a part
+	// exceeds it counts with that part. 0 means that all requests fit.
+	Closed float64 `json:"closed,omitempty"`
 }
 
+// lostPercent is the percentage of failed requests from which a host counts as lost.
+const lostPercent = 50
+
+// Lost reports whether the backend server refuses or fails most requests, whatever their
+// number is. That is no sign of overload of its service, so that Closed does not count.
+func (l *Load) Lost() bool { return l.FailingPercent >= lostPercent }
+
 // shedNone represents a ShedFrom of object.UrgencyCount in JSON.
 const shedNone = "none"
 
--- a/internal/admission/metrics.go
+++ b/internal/admission/metrics.go
@@ -30,6 +30,7 @@
 	rampCount     = metrics.Int("cold-ramps")
 
 	namedRateGauge = metrics.Int("named-rate-requests-per-second")
+	closedGauge    = metrics.Int("closed-hundredths")
 )
 
 func init() {
--- a/internal/admission/state.go
+++ b/internal/admission/state.go
@@ -15,28 +15,34 @@
 func (c *Controller) Load() Load {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	now := c.now()
 	limit := c.limiter.allowed()
-	if p := c.slowestPacer(c.now()); p != nil {
+	if p := c.slowestPacer(now); p != nil {
 		limit = min(limit, p.concurrency(c.reserve.mean))
 	}
-	return Load{
+	l := Load{
 		InFlight: c.inFlight,
 		Queued:   c.queue.length,
 		Limit:    limit,
 		Slots:    c.limiter.slots,
-		ShedFrom: c.shedFrom(c.now()),
 		Cold:     c.cold(),
 		Leaving:  c.leaving,
 
-		FailingPercent: int(100 * c.failureRate.value(c.now())),
+		FailingPercent: int(100 * c.failureRate.value(now)),
+
+		Levelled: c.demand.enabled,
+		Closed:   c.demand.level(limit, c.queue.length, now),
 	}
+	l.ShedFrom = c.shedFrom(now, l.Levelled && !l.Lost())
+	return l
 }
 
 // shedFrom returns the highest urgency of which requests were evicted from the
 // queue recently, or UrgencyCount if there is none or the queue is less than
-// three quarters full.
-func (c *Controller) shedFrom(now time.Time) object.Urgency {
-	if 4*c.queue.length < 3*c.queueLimit() {
+// three quarters full. There is none either if an admission level counts: callers that
+// refuse requests by themselves would hide the demand.
+func (c *Controller) shedFrom(now time.Time, levelCounts bool) object.Urgency {
+	if levelCounts || 4*c.queue.length < 3*c.queueLimit() {
 		return object.UrgencyCount
 	}
 	for u := range object.Urgency(object.UrgencyCount) {
--- a/internal/call/call.go
+++ b/internal/call/call.go
@@ -65,6 +65,12 @@
 	// backend server, and on all calls nested in such an attempt. The first
 	// attempts of those nested calls are counted as retries and earn none.
 	Repeated bool
+	// AdmitProbability is the probability with which the root request was admitted;
+	// 0 means 1. Nested calls inherit it.
+	AdmitProbability float64
+	// DemandCounted is set if an owner of the service has refused an earlier attempt
+	// because of overload. It has counted the call as demand.
+	DemandCounted bool
 }
 
 // Answer is the owner's reply to an entry: either the backend server's response or
@@ -92,6 +98,12 @@
 	// RefusedBeneath is set if the backend server responded with a server error and
 	// one of the nested calls was refused because of overload.
 	RefusedBeneath bool
+	// RefusedByLevel is set if RefusedBeneath is set and all services that refused
+	// report admission levels.
+	RefusedByLevel bool
+	// ClosedBeneath is the highest admission.Load.Closed among the services that
+	// nested calls on this route have used lately.
+	ClosedBeneath float64
 }
 
 // Seal sets Checksum to the checksum of Body.
--- a/internal/call/packed.go
+++ b/internal/call/packed.go
@@ -45,6 +45,10 @@
 	p.int(int64(r.Patience))
 	p.int(int64(r.ExtraAttempts))
 	p.bools(r.NonRepeatable, r.Repeated)
+	if r.AdmitProbability != 0 || r.DemandCounted {
+		p.float(r.AdmitProbability)
+		p.bools(r.DemandCounted)
+	}
 	return Packed{p.data}
 }
 
@@ -68,6 +72,10 @@
 	r.Patience = time.Duration(u.int())
 	r.ExtraAttempts = int(u.int())
 	u.bools(&r.NonRepeatable, &r.Repeated)
+	if u.more() {
+		r.AdmitProbability = u.float()
+		u.bools(&r.DemandCounted)
+	}
 	return r, u.err
 }
 
@@ -83,6 +91,11 @@
 	p.load(a.Load)
 	p.int(int64(a.ExtraAttempts))
 	p.bools(a.Offered, a.NonRepeatable, a.RefusedBeneath)
+	if a.Load.Levelled || a.Load.Closed != 0 || a.RefusedByLevel || a.ClosedBeneath != 0 {
+		p.bools(a.Load.Levelled, a.RefusedByLevel)
+		p.float(a.Load.Closed)
+		p.float(a.ClosedBeneath)
+	}
 	return Packed{p.data}
 }
 
@@ -102,6 +115,11 @@
 	a.Load = u.load()
 	a.ExtraAttempts = int(u.int())
 	u.bools(&a.Offered, &a.NonRepeatable, &a.RefusedBeneath)
+	if u.more() {
+		u.bools(&a.Load.Levelled, &a.RefusedByLevel)
+		a.Load.Closed = u.float()
+		a.ClosedBeneath = u.float()
+	}
 	return a, u.err
 }
 
@@ -199,6 +217,10 @@
 	return &unpacker{data: data[1:]}, nil
 }
 
+// more reports whether the message has further fields. Those that later versions have
+// appended are missing in messages of earlier ones, and left out if all are zero.
+func (u *unpacker) more() bool { return u.err == nil && len(u.data) > 0 }
+
 func (u *unpacker) fail() {
 	u.err = fmt.Errorf("%w: too short", ErrMalformed)
 	u.data = nil
--- a/internal/call/packed_test.go
+++ b/internal/call/packed_test.go
@@ -91,9 +91,37 @@
 
 // TestPackedExtended appends fields of a later version, which are ignored.
 func TestPackedExtended(t *testing.T) {
-	request, err := Packed{append(sampleRequest().Pack().Data, 1, 2, 3)}.Request()
+	want := sampleRequest()
+	want.AdmitProbability, want.DemandCounted = 0.25, true
+	request, err := Packed{append(want.Pack().Data, 1, 2, 3)}.Request()
 	qt.Assert(t, err, qt.IsNil)
-	qt.Check(t, request, qt.DeepEquals, sampleRequest())
+	qt.Check(t, request, qt.DeepEquals, want)
+}
+
+// TestPackedEarlier cuts off the fields that the first version lacks, as a node of an
+// earlier build sends a message. The rest must be decoded, with these fields zero.
+// Without these fields a message must be as the first version packs it.
+func TestPackedEarlier(t *testing.T) {
+	request, answer := sampleRequest(), sampleAnswer()
+	first, firstAnswer := request.Pack().Data, answer.Pack().Data
+	request.AdmitProbability, request.DemandCounted = 0.25, true
+	answer.Load.Levelled, answer.Load.Closed, answer.ClosedBeneath, answer.RefusedByLevel = true, 1.5, 2.5, true
+	extended, extendedAnswer := request.Pack().Data, answer.Pack().Data
+	qt.Check(t, len(extended) > len(first) && len(extendedAnswer) > len(firstAnswer), qt.IsTrue)
+	unpacked, err := Packed{extended[:len(first)]}.Request()
+	qt.Assert(t, err, qt.IsNil)
+	qt.Check(t, unpacked, qt.DeepEquals, sampleRequest())
+	unpackedAnswer, err := Packed{extendedAnswer[:len(firstAnswer)]}.Answer()
+	qt.Assert(t, err, qt.IsNil)
+	qt.Check(t, unpackedAnswer, qt.DeepEquals, sampleAnswer())
+	for n := len(first) + 1; n < len(extended); n++ {
+		_, err := Packed{extended[:n]}.Request()
+		qt.Check(t, err, qt.ErrorIs, ErrMalformed)
+	}
+	for n := len(firstAnswer) + 1; n < len(extendedAnswer); n++ {
+		_, err := Packed{extendedAnswer[:n]}.Answer()
+		qt.Check(t, err, qt.ErrorIs, ErrMalformed)
+	}
 }
 
 func FuzzPacked(f *testing.F) {
--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -74,6 +74,7 @@
 		metricRetries.Add(1)
 		e.log.retried(x, host, attempt, failure)
 		x.request.Repeated = x.request.Repeated || offered
+		x.request.DemandCounted = x.request.DemandCounted || e.demandCounted(host, failure)
 		if host != "" {
 			excluded = append(excluded, host)
 		}
@@ -208,14 +209,16 @@
 		e.nonRepeatableRoutes.LoadOrStore(x.request.Route, nil)
 		x.noteNonRepeatable(true)
 	}
-	e.config.Balancer.Observe(host.ID, answer.Load, time.Now())
-	e.throttle.Observe(e.throttleKind(x), answer.RefusedBeneath, time.Now())
+	now := time.Now()
+	e.config.Balancer.Observe(host.ID, answer.Load, now)
+	e.observeLevel(x, answer, now)
+	e.throttle.Observe(e.throttleKind(x), e.refusedForThrottle(answer), now)
 	if answer.Err == nil {
 		x.answer = answer
 		return nil
 	}
 	if answer.Err.Code == verdict.BackendUnreachable {
-		e.config.Balancer.RecordUnreachable(host.ID, time.Now())
+		e.config.Balancer.RecordUnreachable(host.ID, now)
 	}
 	return answer.Err
 }
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -26,11 +26,12 @@
 	"curranthold.example/curranthold/internal/owner"
 	"curranthold.example/curranthold/internal/peer"
 	"curranthold.example/curranthold/internal/retry"
+	"curranthold.example/curranthold/internal/treeadmit"
 	"curranthold.example/curranthold/pkg/verdict"
 )
 
 // rootStages lists the stages for a call from a caller, in order.
-var rootStages = []string{"route", "key", "body", "deadline", "quota", "claim", "attempt"}
+var rootStages = []string{"route", "key", "body", "deadline", "tree", "quota", "claim", "attempt"}
 
 // nestedStages lists the stages for a call from the backend server on this host, in
 // order. It has no key and quota stages, because a nested call inherits the client
@@ -111,6 +112,10 @@
 	// DisableThrottle disables the throttle, which refuses calls whose nested calls
 	// are likely to be refused, to measure its effect.
 	DisableThrottle bool
+	// TreeAdmission makes the entry admit root requests by the admission levels of the
+	// services of their call trees. For refusals of services that report levels it
+	// replaces the throttle.
+	TreeAdmission bool
 }
 
 // Entry handles incoming calls.
@@ -126,6 +131,10 @@
 	latencies routeLatencies
 	// throttle refuses calls whose nested calls are likely to be refused.
 	throttle balance.Throttle
+	// tree decides which root requests are admitted, if TreeAdmission is set.
+	tree treeadmit.Roots
+	// levelled holds the names of the services that report admission levels.
+	levelled sync.Map
 	// nonRepeatableRoutes holds the names of the routes whose calls have begun
 	// non-repeatable nested calls; see mayRepeat.
 	nonRepeatableRoutes sync.Map
@@ -166,10 +175,9 @@
 
 // enabledStages returns the given stages without those that c disables.
 func (c *Config) enabledStages(stages []string) []string {
-	if c.Claims != nil {
-		return stages
-	}
-	return slices.DeleteFunc(slices.Clone(stages), func(name string) bool { return name == "claim" })
+	return slices.DeleteFunc(slices.Clone(stages), func(name string) bool {
+		return (name == "claim" && c.Claims == nil) || (name == "tree" && !c.TreeAdmission)
+	})
 }
 
 // SetRetryBurst sets the burst of the retry buckets: the number of retries that this
@@ -319,10 +327,11 @@
 	}
 	x.request.Repeated = x.inferredParent.Request().Repeated
 	x.request.Progress = x.inferredParent.Progress()
+	x.request.AdmitProbability = x.inferredParent.Request().AdmitProbability
 	defer x.inferredParent.BeginNested()()
 	ctx, cancel := e.nestedContext(ctx, x.inferredParent)
 	defer cancel()
 	err := e.root(ctx, x)
-	x.reportToParent(x.inferredParent, err)
+	e.reportToParent(x, x.inferredParent, err)
 	return err
 }
--- a/internal/entry/hedge.go
+++ b/internal/entry/hedge.go
@@ -175,9 +175,11 @@
 
 // sendHedge sends a call in progress to a second host. It returns nil if no host has
 // spare capacity, if nested calls of calls of the same throttle kind were refused
-// recently, or if the call's attempt budget or the service's retry bucket is empty.
+// recently, if the route's call tree lacks capacity, or if the call's attempt budget or
+// the service's retry bucket is empty.
 func (e *Entry) sendHedge(ctx context.Context, x *activeCall, request *call.Request, excluded []string) *sendResult {
-	if ctx.Err() != nil || e.throttle.RecentlyRefused(e.throttleKind(x), time.Now()) {
+	now := time.Now()
+	if ctx.Err() != nil || e.throttle.RecentlyRefused(e.throttleKind(x), now) || e.tree.Limited(x.request.Route, now) {
 		return nil
 	}
 	host, err := e.config.Balancer.Choose(balance.Request{
--- a/internal/entry/nested.go
+++ b/internal/entry/nested.go
@@ -45,7 +45,7 @@
 	ctx, cancel := e.nestedContext(r.Context(), parent)
 	defer cancel()
 	err := e.nested(ctx, x)
-	x.reportToParent(parent, err)
+	e.reportToParent(x, parent, err)
 	return err
 }
 
@@ -96,4 +96,5 @@
 	x.request.Depth = parentRequest.Depth + 1
 	x.request.Repeated = parentRequest.Repeated
 	x.request.Progress = parent.Progress()
+	x.request.AdmitProbability = parentRequest.AdmitProbability
 }
--- a/internal/entry/stage.go
+++ b/internal/entry/stage.go
@@ -23,6 +23,7 @@
 	stages.Register("key", keyStage)
 	stages.Register("body", bodyStage)
 	stages.Register("deadline", deadlineStage)
+	stages.Register("tree", treeStage)
 	stages.Register("quota", quotaStage)
 	stages.Register("claim", claimStage)
 	stages.Register("attempt", attemptStage)
--- a/internal/entry/throttle.go
+++ b/internal/entry/throttle.go
@@ -35,14 +35,14 @@
 }
 
 // reportToParent reports the outcome of a nested call to its parent.
-func (x *activeCall) reportToParent(parent *owner.Parent, err error) {
+func (e *Entry) reportToParent(x *activeCall, parent *owner.Parent, err error) {
 	if err != nil || x.answer == nil || x.answer.Status >= http.StatusInternalServerError {
 		parent.NoteFailed()
 	} else {
 		parent.NoteServed()
 	}
 	if x.refusedForOverload(err) {
-		parent.NoteRefused()
+		parent.NoteRefused(e.refusedByLevel(x, err))
 	}
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -175,6 +175,7 @@
 		Codec:             n.adapter.Backend,
 		Service:           n.declaredService,
 		WarmStart:         n.adapter.external() && n.settings.Limits.WarmStart,
+		TreeAdmission:     n.adapter.external() && n.settings.Limits.TreeAdmission,
 
 		RequestIDTokens: n.adapter.external(),
 		AnnouncementTTL: n.settings.AnnouncementTTL(),
@@ -202,6 +203,7 @@
 		DisableRetryLimit: n.settings.Limits.Disabled(settings.RetryBudget),
 		DisableHedging:    n.settings.Limits.Disabled(settings.Hedging),
 		DisableThrottle:   n.settings.Limits.Disabled(settings.Throttle),
+		TreeAdmission:     n.adapter.external() && n.settings.Limits.TreeAdmission,
 	}
 	if n.adapter.external() {
 		config.Quota = n.tally
--- a/internal/owner/backend.go
+++ b/internal/owner/backend.go
@@ -98,6 +98,7 @@
 			request: c.request,
 			permit:  c.permit,
 			budget:  retry.NewBudget(c.request.ExtraAttempts),
+			beneath: &o.beneath,
 		}
 		token := o.callTokens.issue(c.parent, o.config.RequestIDTokens)
 		defer o.callTokens.release(token, c.parent)
--- a/internal/owner/heartbeat.go
+++ b/internal/owner/heartbeat.go
@@ -154,6 +154,7 @@
 		Connections:   a.Connections,
 		Cold:          a.Cold,
 		Warm:          o.config.WarmStart && declared && !a.Cold && coldFor <= 0,
+		Levelled:      o.config.TreeAdmission && declared && spec.ColdRate == 0,
 		Incarnation:   incarnationID(a.Incarnation, startMs),
 		ColdRate:      spec.ColdRate * cmp.Or(o.config.ColdRateFactor, 1),
 		ColdRemaining: coldFor,
--- a/internal/owner/heartbeat_test.go
+++ b/internal/owner/heartbeat_test.go
@@ -157,6 +157,34 @@
 	}
 }
 
+// TestLevelledHeartbeat checks for which services the owner reports a level: only with
+// TreeAdmission, and if the service is declared without a cold rate. The limit of a paced
+// backend server says nothing of its capacity.
+func TestLevelledHeartbeat(t *testing.T) {
+	tests := map[string]struct {
+		setting, declared bool
+		spec              object.ServiceSpec
+		levelled          bool
+	}{
+		"on":           {setting: true, declared: true, levelled: true},
+		"off":          {declared: true},
+		"not declared": {setting: true},
+		"cold rate":    {setting: true, declared: true, spec: object.ServiceSpec{ColdRate: 40}},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			o, err := New(Config{
+				Admission:     admission.New(admission.Config{}),
+				TreeAdmission: test.setting,
+				Service:       func(string) (object.ServiceSpec, bool) { return test.spec, test.declared },
+			})
+			qt.Assert(t, err, qt.IsNil)
+			qt.Assert(t, o.HandleHeartbeat(heartbeat("a", 1, 1, false)), qt.IsNil)
+			qt.Check(t, o.config.Admission.Load().Levelled, qt.Equals, test.levelled)
+		})
+	}
+}
+
 func shortContext() (context.Context, context.CancelFunc) {
 	return context.WithTimeout(context.Background(), time.Millisecond/10)
 }
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -14,6 +14,7 @@
 	"curranthold.example/curranthold/internal/admission"
 	"curranthold.example/curranthold/internal/call"
 	"curranthold.example/curranthold/internal/kernel"
+	"curranthold.example/curranthold/internal/treeadmit"
 	"curranthold.example/curranthold/pkg/object"
 	"curranthold.example/curranthold/pkg/verdict"
 )
@@ -50,6 +51,9 @@
 	// WarmStart makes the concurrency limit start at the slots if the backend server
 	// says that it isn't cold and its service is declared without a cold rate.
 	WarmStart bool
+	// TreeAdmission makes the owner report admission levels: its own, if its service is
+	// declared without a cold rate, and those of the services that nested calls use.
+	TreeAdmission bool
 	// RequestIDTokens makes Parent find a running call by its RequestID instead of a
 	// random call token. It is set if backend servers pass on no call tokens.
 	RequestIDTokens bool
@@ -83,6 +87,8 @@
 	handler      kernel.Handler[*activeCall]
 	callTokens   callTokens
 	waitingCalls waitingCalls
+	// beneath holds the admission levels of the services that nested calls use.
+	beneath treeadmit.Beneath
 	// largeAnswers holds a buffer for each large body that may be read now.
 	largeAnswers chan *bytes.Buffer
 
@@ -142,6 +148,9 @@
 	err := o.handler(ctx, c)
 	answer.Load = o.config.Admission.Load()
 	answer.ExtraAttempts = request.ExtraAttempts
+	if o.config.TreeAdmission {
+		answer.ClosedBeneath = o.beneath.Closed(request.Route, time.Now())
+	}
 	if c.parent != nil {
 		answer.ExtraAttempts = c.parent.close()
 		answer.NonRepeatable = c.parent.nonRepeatable.Load()
@@ -155,6 +164,7 @@
 	}
 	metricServed.Add(1)
 	answer.RefusedBeneath = answer.Status >= http.StatusInternalServerError && c.parent.refused.Load()
+	answer.RefusedByLevel = answer.RefusedBeneath && !c.parent.refusedWithoutLevel.Load()
 }
 
 // Parent returns the running call with the given call token, or with the given
@@ -298,6 +308,9 @@
 		Deadline:      deadline,
 		NonRepeatable: r.NonRepeatable,
 		MaxWait:       r.Patience,
+
+		AdmitProbability: r.AdmitProbability,
+		DemandCounted:    r.DemandCounted,
 	})
 	if err != nil && errors.Is(context.Cause(ctx), errKeyWithdrawn) {
 		return nil, keyWithdrawnError()
--- a/internal/owner/owner_test.go
+++ b/internal/owner/owner_test.go
@@ -296,7 +296,7 @@
 			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 				parent, ok := o.Parent(r.Header.Get(header.CallToken))
 				if qt.Check(t, ok, qt.IsTrue) && test.refused {
-					parent.NoteRefused()
+					parent.NoteRefused(false)
 				}
 				w.WriteHeader(test.status)
 			}))
--- a/internal/owner/token.go
+++ b/internal/owner/token.go
@@ -7,10 +7,12 @@
 	"slices"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"curranthold.example/curranthold/internal/admission"
 	"curranthold.example/curranthold/internal/call"
 	"curranthold.example/curranthold/internal/retry"
+	"curranthold.example/curranthold/internal/treeadmit"
 )
 
 // Parent is a call that the backend server is running and that may have nested calls.
@@ -20,6 +22,7 @@
 	request *call.Request
 	permit  *admission.Permit
 	budget  *retry.Budget
+	beneath *treeadmit.Beneath
 	nested  atomic.Int64
 	// nonRepeatable is set once a non-repeatable nested call has begun.
 	nonRepeatable atomic.Bool
@@ -27,6 +30,9 @@
 	// refused is set once a nested call was refused because of overload, and
 	// failed once a nested call was not served for any reason.
 	refused, failed atomic.Bool
+	// refusedWithoutLevel is set once a service that reports no admission level has
+	// refused a nested call because of overload.
+	refusedWithoutLevel atomic.Bool
 	// served is the number of nested calls that were served.
 	served atomic.Int64
 }
@@ -52,8 +58,20 @@
 // of the parent must then not be repeated.
 func (p *Parent) NoteNonRepeatable() { p.nonRepeatable.Store(true) }
 
-// NoteRefused records that a nested call was refused because of overload.
-func (p *Parent) NoteRefused() { p.refused.Store(true) }
+// NoteRefused records that a nested call was refused because of overload, and whether
+// the service that refused it reports admission levels.
+func (p *Parent) NoteRefused(levelled bool) {
+	p.refused.Store(true)
+	if !levelled {
+		p.refusedWithoutLevel.Store(true)
+	}
+}
+
+// NoteLevel records the admission level that the answer to a nested call to the service
+// reports; see [treeadmit.Reported].
+func (p *Parent) NoteLevel(service string, closed float64, now time.Time) {
+	p.beneath.Report(p.request.Route, service, closed, now)
+}
 
 // Progress returns the number of nested calls already served for the parent and the
 // parent's ancestors, as far as this host knows.
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -126,6 +126,10 @@
 	// isn't cold start at its slots, if its service declares no cold rate. A node
 	// without an adapter ignores it.
 	WarmStart bool `json:"warm-start"`
+	// TreeAdmission makes entries admit root requests by the capacity of all services
+	// of their call trees, as far as these declare no cold rate. A node without an
+	// adapter ignores it.
+	TreeAdmission bool `json:"tree-admission"`
 	// DisabledMechanisms names mechanisms to switch off, to measure the effect of
 	// each. It is meant for tests only.
 	DisabledMechanisms []string `json:"disabled-mechanisms"`
