--- a/internal/call/packed.go
+++ b/internal/call/packed.go
@@ -51,6 +51,10 @@
 	p.int(int64(r.Patience))
 	p.int(int64(r.ExtraAttempts))
 	p.bools(r.NonRepeatable, r.Repeated, r.Candidate)
+	if r.AdmitProbability != 0 || r.DemandCounted {
+		p.float(r.AdmitProbability)
+		p.bools(r.DemandCounted)
+	}
 	return Packed{p.data}
 }
 
@@ -74,6 +78,10 @@
 	r.Patience = time.Duration(u.int())
 	r.ExtraAttempts = int(u.int())
 	u.bools(&r.NonRepeatable, &r.Repeated, &r.Candidate)
+	if u.more() {
+		r.AdmitProbability = u.float()
+		u.bools(&r.DemandCounted)
+	}
 	return r, u.err
 }
 
@@ -90,6 +98,11 @@
 	p.int(int64(a.ExtraAttempts))
 	p.bools(a.Offered, a.NonRepeatable, a.RefusedBeneath, a.Load.Superseded)
 	p.int(int64(a.Load.MeanSlotTime))
+	if a.Load.Levelled || a.Load.Closed != 0 || a.RefusedByLevel || a.ClosedBeneath != 0 {
+		p.bools(a.Load.Levelled, a.RefusedByLevel)
+		p.float(a.Load.Closed)
+		p.float(a.ClosedBeneath)
+	}
 	return Packed{p.data}
 }
 
@@ -112,6 +125,11 @@
 	if u.more() {
 		a.Load.MeanSlotTime = time.Duration(u.int())
 	}
+	if u.more() {
+		u.bools(&a.Load.Levelled, &a.RefusedByLevel)
+		a.Load.Closed = u.float()
+		a.ClosedBeneath = u.float()
+	}
 	return a, u.err
 }
 
@@ -210,14 +228,15 @@
 	return &unpacker{data: data[1:]}, nil
 }
 
+// more reports whether the message has further fields. Those that later versions have
+// appended are missing in messages of earlier ones, and left out if all are zero.
+func (u *unpacker) more() bool { return u.err == nil && len(u.data) > 0 }
+
 func (u *unpacker) fail() {
 	u.err = fmt.Errorf("%w: too short", ErrMalformed)
 	u.data = nil
 }
 
-// more reports whether fields follow. Nodes of earlier builds don't send the later ones.
-func (u *unpacker) more() bool { return len(u.data) > 0 }
-
 func (u *unpacker) uint() uint64 {
 	v, n := binary.Uvarint(u.data)
 	if n <= 0 {
--- a/internal/entry/not_run_test.go
+++ b/internal/entry/not_run_test.go
@@ -104,17 +104,17 @@
 // answer say that the call has not run. The call has then not run, unless another attempt
 // may have.
 func TestLateNotRun(t *testing.T) {
-	refused := refusal(verdict.NotRun, verdict.Overloaded)
-	mayHaveRun := refusal(verdict.MayHaveRun, verdict.BackendBroken)
+	refused := func() *call.Answer { return refusal(verdict.NotRun, verdict.Overloaded) }
+	mayHaveRun := func() *call.Answer { return refusal(verdict.MayHaveRun, verdict.BackendBroken) }
 	const late = 900 * time.Millisecond
 	tests := map[string]struct {
 		outcomes []lateOutcome
 		want     verdict.Verdict
 	}{
-		"both refuse":                  {[]lateOutcome{{late, refused}, {0, refused}}, verdict.NotRun},
-		"other host may have run it":   {[]lateOutcome{{late, refused}, {0, mayHaveRun}}, verdict.MayHaveRun},
-		"silent host may have run it":  {[]lateOutcome{{late, mayHaveRun}, {0, refused}}, verdict.MayHaveRun},
-		"silent host gives no verdict": {[]lateOutcome{{time.Hour, nil}, {0, refused}}, verdict.MayHaveRun},
+		"both refuse":                  {[]lateOutcome{{late, refused()}, {0, refused()}}, verdict.NotRun},
+		"other host may have run it":   {[]lateOutcome{{late, refused()}, {0, mayHaveRun()}}, verdict.MayHaveRun},
+		"silent host may have run it":  {[]lateOutcome{{late, mayHaveRun()}, {0, refused()}}, verdict.MayHaveRun},
+		"silent host gives no verdict": {[]lateOutcome{{time.Hour, nil}, {0, refused()}}, verdict.MayHaveRun},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -193,6 +193,7 @@
 		Clients:           n.clients,
 		Service:           n.declaredService,
 		WarmStart:         n.adapter.external() && n.settings.Limits.WarmStart,
+		TreeAdmission:     n.adapter.external() && n.settings.Limits.TreeAdmission,
 
 		RequestIDTokens: n.adapter.external(),
 		AnnouncementTTL: n.settings.AnnouncementTTL(),
@@ -225,6 +226,7 @@
 		DisableRetryLimit: n.settings.Limits.Disabled(settings.RetryBudget),
 		DisableHedging:    n.settings.Limits.Disabled(settings.Hedging),
 		DisableThrottle:   n.settings.Limits.Disabled(settings.Throttle),
+		TreeAdmission:     n.adapter.external() && n.settings.Limits.TreeAdmission,
 	}
 	if n.rollout != nil {
 		config.Rollouts = n.rollout
--- a/internal/owner/offer_test.go
+++ b/internal/owner/offer_test.go
@@ -68,8 +68,8 @@
 	}
 	qt.Check(t, cancelReply(o, "queued"), qt.IsTrue)
 	qt.Check(t, cancelReply(o, "running"), qt.IsFalse)
+	group.Wait() // The answer of the backend server must not compete with the cancellation.
 	close(release)
-	group.Wait()
 	qt.Check(t, answers["queued"].Err.Verdict, qt.Equals, verdict.NotRun)
 	qt.Check(t, answers["running"].Err.Verdict, qt.Equals, verdict.MayHaveRun)
 	qt.Check(t, received.Load(), qt.Equals, int64(2))
