Number the events of rollouts from 1800

Events 1500 to 1502 belong to the adapter of the users' platform and had been moved to 1550 when rollouts took the same numbers. Operators filter logs by these numbers, so the adapter keeps them, and rollouts get a range of their own.

--- a/internal/rollout/event.go
+++ b/internal/rollout/event.go
@@ -6,23 +6,23 @@
 )
 
 var (
-	eventBegun = event.New(1500, "rollout-begun", event.Info,
+	eventBegun = event.New(1800, "rollout-begun", event.Info,
 		"This host began to decide about an order to move a service to another version; the new version gets a small share of the calls.")
-	eventPromoting = event.New(1501, "rollout-promoting", event.Info,
+	eventPromoting = event.New(1801, "rollout-promoting", event.Info,
 		"The new version of a service responded like the old one and gets all new calls of the service.")
-	eventCompleted = event.New(1502, "rollout-completed", event.Info,
+	eventCompleted = event.New(1802, "rollout-completed", event.Info,
 		"A rollout was completed. The reason is passed, or in-force if the version had been in force before the order.")
-	eventRolledBack = event.New(1503, "rollout-rolled-back", event.Warn,
+	eventRolledBack = event.New(1803, "rollout-rolled-back", event.Warn,
 		"A rollout was rolled back. The reason says why: failures or slow (the new version is worse), no-evidence, not-ready (cold or too few slots), unknown-service, unknown-version, withdrawn, late (first seen after the deadline) or store-unavailable.")
-	eventReplaced = event.New(1504, "rollout-replaced", event.Warn,
+	eventReplaced = event.New(1804, "rollout-replaced", event.Warn,
 		"A second order for a service came while one was running. The first is rolled back, and the second begins.")
-	eventCandidateBad = event.New(1505, "rollout-candidate-refuses", event.Warn,
+	eventCandidateBad = event.New(1805, "rollout-candidate-refuses", event.Warn,
 		"The responses of the backend server on this host alone show that it is worse than the old version; it gets no more calls in this rollout.")
-	eventStoreUnavailable = event.New(1506, "rollout-store-unavailable", event.Warn,
+	eventStoreUnavailable = event.New(1806, "rollout-store-unavailable", event.Warn,
 		"The state of a rollout could not be read or written. A rollback takes effect without it; a rollout isn't completed.")
-	eventTakenOver = event.New(1507, "rollout-taken-over", event.Info,
+	eventTakenOver = event.New(1807, "rollout-taken-over", event.Info,
 		"The host that decided about a rollout was silent; this host takes over.")
-	eventNotOrdered = event.New(1508, "rollout-version-not-ordered", event.Warn,
+	eventNotOrdered = event.New(1808, "rollout-version-not-ordered", event.Warn,
 		"The backend server on this host has a version that is not in force and that no order allows; it gets no calls.")
 )
 
