Check connections at common times, so that one wake-up serves many

Cause: each write on a connection that is not watched starts a timer of 250 ms for that connection. A node with many connections of few calls each, which is the ordinary case, wakes an idle processor for each of these checks.

Checks now fall on multiples of 100 ms, 250 to 350 ms after the write. A shared list with one timer was ruled out: it would need a lock on each write, and timers that are due together are served by one wake-up anyway.

--- a/internal/socket/conn.go
+++ b/internal/socket/conn.go
@@ -13,8 +13,12 @@
 
 const (
 	// checkInterval is the time between two checks of a connection whose data is
-	// not all acknowledged.
+	// not all acknowledged. The time is extended by up to checkAlignment.
 	checkInterval = 250 * time.Millisecond
+	// checkAlignment is the unit of the times of checks. A host with many connections
+	// makes its checks together, at most ten times a second: waking an idle processor
+	// takes several times as long as a check.
+	checkAlignment = 100 * time.Millisecond
 	// probeInterval is the longest time between two probes of a closed window.
 	probeInterval = time.Second
 	// lingerTimeout is how long the kernel keeps a stalled connection that its
@@ -110,7 +114,7 @@
 
 // StalledFor returns for how long the other host has taken no data, or too little to
 // empty the send buffer, although it responds. It is 0 if the connection is not
-// stalled. A stall is found after up to a quarter of a second.
+// stalled. A stall is found after up to checkInterval and checkAlignment.
 func (c *Conn) StalledFor() time.Duration {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -145,12 +149,19 @@
 	switch {
 	case c.closed:
 	case c.timer == nil:
-		c.timer = time.AfterFunc(checkInterval, c.check)
+		c.timer = time.AfterFunc(timeToCheck(time.Now()), c.check)
 	default:
-		c.timer.Reset(checkInterval)
+		c.timer.Reset(timeToCheck(time.Now()))
 	}
 }
 
+// timeToCheck returns the time from now to the next check, at least checkInterval, which
+// ends at a multiple of checkAlignment.
+func timeToCheck(now time.Time) time.Duration {
+	due := now.Add(checkInterval + checkAlignment - 1)
+	return due.Truncate(checkAlignment).Sub(now)
+}
+
 // check looks at the written data, and schedules the next check unless all of it is
 // acknowledged. Where the kernel does not tell about the data, the connection keeps
 // userTimeout and is not checked again.
