Count a head that arrives with the request before it

The budget of heads being read forgot what had been received when a request began. A head that arrived in the same read as the request before it, up to 4 KiB or 1,300 lines, was therefore not counted while its rest was awaited: TestConnHeadsInOneRead found 0 bytes in use. Ruled out: a parser that finds the end of each request in the stream.

The connection now keeps the cost of the last read, which may still be in the buffer of net/http, over any number of requests, until net/http waits for more. From the same state the new histogram pipelined-wait-us tells how long requests waited behind another one of their connection; served-latency-us doesn't contain that.

--- a/internal/clientlimit/client.go
+++ b/internal/clientlimit/client.go
@@ -1,6 +1,9 @@
 package clientlimit
 
-import "container/list"
+import (
+	"container/list"
+	"time"
+)
 
 // State is what a connection of a client is doing.
 type State int
@@ -40,10 +43,14 @@
 	state State
 	// head is the cost of the head that is being read.
 	head int64
-	// ahead is the cost of lines that were received while a request was in progress,
-	// and that may belong to the next head.
+	// ahead is the cost of what net/http may have in its buffer and not read yet. Behind
+	// a request it may belong to the next heads.
 	ahead int64
-	ended bool
+	// aheadAt is when the last of it was received, and aheadWait how long it had waited
+	// when the request before it ended; 0 if it can't belong to a head.
+	aheadAt   time.Time
+	aheadWait time.Duration
+	ended     bool
 }
 
 // Admit admits a new connection. If there are too many, it closes the one whose state
@@ -113,10 +120,14 @@
 	}
 	c.state = state
 	c.charge(-c.head)
-	if state == Idle {
+	switch {
+	case state == Idle && c.ahead > 0:
 		c.charge(c.ahead)
+		c.aheadWait = time.Since(c.aheadAt)
+	case state == Active && c.aheadWait > 0:
+		metricPipelined.Record(c.aheadWait)
+		c.aheadWait = 0
 	}
-	c.ahead = 0
 	b.clients.MoveToBack(c.element)
 	victims := b.shed()
 	open := !c.ended
@@ -125,14 +136,15 @@
 	return open
 }
 
-// Await records that an idle connection has received nothing yet that belongs to the
-// next head.
+// Await records that nothing more than a few bytes of the next head has been received on
+// an idle connection.
 func (c *Client) Await() {
 	b := c.gate.budget
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if !c.ended && c.state == Idle {
 		c.charge(-c.head)
+		c.ahead, c.aheadWait = 0, 0
 	}
 }
 
@@ -155,8 +167,8 @@
 		b.mu.Unlock()
 		return false
 	}
+	c.receivedAhead(bytes, cost)
 	if c.state == Active {
-		c.receivedAhead(bytes, cost)
 		b.mu.Unlock()
 		return true
 	}
@@ -188,13 +200,15 @@
 // readerBytes is the size of the buffer in which net/http reads ahead.
 const readerBytes = 4 << 10
 
-// receivedAhead records what may belong to the next head. Only the last bytes that were
-// received in one read can: net/http reads larger parts of a body past its buffer. A
-// single byte is read to notice that the client has left, and keeps those before it.
+// receivedAhead updates ahead. Only bytes of the last read can be in the buffer, and part
+// of a line before them: net/http reads when the buffer has no whole line left, and reads
+// larger parts of a body past it. A single byte is read beside the buffer, to notice that
+// the client has left.
 func (c *Client) receivedAhead(bytes int, cost int64) {
+	c.aheadAt = time.Now()
 	switch {
 	case bytes == 1:
-		c.ahead += cost
+		c.ahead = min(c.ahead+cost, headCost(readerBytes, readerBytes))
 	case bytes <= readerBytes:
 		c.ahead = cost
 	default:
--- a/internal/clientlimit/conn_test.go
+++ b/internal/clientlimit/conn_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"encoding/json"
 	"io"
 	"net"
 	"net/http"
@@ -117,6 +118,7 @@
 	conn, r := s.dial(t)
 	send(t, conn, "POST /wait HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\n\r\n")
 	time.Sleep(50 * time.Millisecond)
+	before := pipelined(t)
 	lines := strings.Repeat("a:\r\n", 500)
 	send(t, conn, "xGET / HTTP/1.1\r\nHost: h\r\n"+lines)
 	time.Sleep(50 * time.Millisecond)
@@ -126,6 +128,33 @@
 	send(t, conn, "\r\n")
 	qt.Check(t, status(t, r), qt.Equals, http.StatusOK)
 	s.await(t, Heads, isZero)
+	qt.Check(t, pipelined(t), qt.Equals, before+1)
+	send(t, conn, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+	qt.Check(t, status(t, r), qt.Equals, http.StatusOK)
+	qt.Check(t, pipelined(t), qt.Equals, before+1, qt.Commentf("this one did not wait"))
+}
+
+// pipelined returns how many pipelined requests were counted.
+func pipelined(t *testing.T) int {
+	var values struct{ Count int }
+	qt.Assert(t, json.Unmarshal([]byte(metricPipelined.String()), &values), qt.IsNil)
+	return values.Count
+}
+
+// TestConnHeadsInOneRead guards against a head that arrives in one read with the request
+// before it and is not counted when it is read.
+func TestConnHeadsInOneRead(t *testing.T) {
+	s := newTestServer(t, Limits{MemoryBytes: testMemory, MaxHeadBytes: 32 << 10}, 10)
+	conn, r := s.dial(t)
+	lines := strings.Repeat("a:\r\n", 500)
+	send(t, conn, "GET / HTTP/1.1\r\nHost: h\r\n\r\nGET / HTTP/1.1\r\nHost: h\r\n"+lines)
+	qt.Check(t, status(t, r), qt.Equals, http.StatusOK)
+	s.await(t, Heads, func(bytes int64) bool { return bytes >= 500*lineBytes })
+	time.Sleep(50 * time.Millisecond)
+	qt.Check(t, s.budget.InUse(Heads) >= 500*lineBytes, qt.IsTrue)
+	send(t, conn, "\r\n")
+	qt.Check(t, status(t, r), qt.Equals, http.StatusOK)
+	s.await(t, Heads, isZero)
 }
 
 // TestRefusedHead guards against a refusal that is not true: the most expensive head gets
--- a/internal/clientlimit/event.go
+++ b/internal/clientlimit/event.go
@@ -21,6 +21,9 @@
 	metricRefused = refusedByPart()
 	// metricReleases counts how often unused memory was returned.
 	metricReleases = metrics.Int("memory-returns")
+	// metricPipelined is how long requests that were received with or behind another
+	// waited until it was answered.
+	metricPipelined = metrics.Histogram("pipelined-wait-us")
 )
 
 func refusedByPart() (refused [partCount]*expvar.Int) {
