--- a/internal/admission/controller.go
+++ b/internal/admission/controller.go
@@ -15,6 +15,10 @@
 // the moving average of the weights.
 const meanWeightSmoothing = 64
 
+// slotTimeSmoothing is the reciprocal of the weight that a new request has in the moving
+// averages of slot times.
+const slotTimeSmoothing = 32
+
 // Controller admits requests to one backend server. Its methods may be called
 // concurrently.
 type Controller struct {
@@ -33,10 +37,12 @@
 	lastEvicted  [object.UrgencyCount]time.Time
 	serviceTimes [object.UrgencyCount]serviceTime
 	reserve      reserve
+	demand       demand
 	failureRate  failureRate
 	running      [object.UrgencyCount]int
 	inFlight     int
 	meanWeight   float64
+	meanSlotTime time.Duration
 	// incarnation is that of the last announcement; announced is set once there
 	// was one.
 	incarnation      string
@@ -73,6 +79,10 @@
 	if restart {
 		c.failureRate = failureRate{}
 		c.namedRate = namedRate{}
+		c.meanSlotTime = 0
+	}
+	if a.Levelled != c.demand.enabled {
+		c.demand = demand{enabled: a.Levelled}
 	}
 	c.announced = true
 	c.incarnation = a.Incarnation
@@ -167,6 +177,7 @@
 	defer c.mu.Unlock()
 	now := c.now()
 	c.normalize(&r)
+	c.demand.observe(&r)
 	if refusal := c.refusal(&r, now); refusal != nil {
 		return nil, nil, refusal
 	}
@@ -299,6 +310,7 @@
 	now := c.now()
 	finishedCount[min(outcome, Abandoned)].Add(1)
 	c.reserve.remove(p, now)
+	c.demand.observeEnd(outcome, now.Sub(p.start))
 	c.inFlight--
 	c.running[p.urgency]--
 	ended := p.sample(outcome, c.inFlight, now)
@@ -306,6 +318,7 @@
 	silent := c.limiter.observe(ended, now)
 	if outcome == Succeeded {
 		c.serviceTimes[p.urgency].observe(now.Sub(p.start), now)
+		c.observeSlotTime(ended.took)
 	}
 	c.dispatch(now)
 	c.updateGauges()
@@ -313,11 +326,20 @@
 	return silent
 }
 
+func (c *Controller) observeSlotTime(took time.Duration) {
+	if c.meanSlotTime == 0 {
+		c.meanSlotTime = max(took, 1)
+		return
+	}
+	c.meanSlotTime = max(c.meanSlotTime+(took-c.meanSlotTime)/slotTimeSmoothing, 1)
+}
+
 func (c *Controller) updateGauges() {
 	inFlightGauge.Set(int64(c.inFlight))
 	queuedGauge.Set(int64(c.queue.length))
 	limitGauge.Set(int64(c.limiter.allowed()))
 	namedRateGauge.Set(int64(c.namedRate.pacer.rate))
+	closedGauge.Set(int64(100 * c.demand.closed))
 }
 
 // countRefusal counts the refusal by its code and returns it.
--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -3,8 +3,9 @@
 // A [Balancer] draws two hosts of the service from its own availability zone, with
 // probabilities proportional to their slots, and takes the less loaded one. It turns to
 // another zone if neither of the two accepts the call, or if the less loaded one is
-// saturated. A call whose urgency is refused by all candidates is refused here, before
-// any work is spent on it.
+// saturated. For services set by SetSpread, it draws one host with a probability that grows
+// with its estimated headroom instead. A call whose urgency is refused by all candidates is
+// refused here, before any work is spent on it.
 package balance
 
 import (
@@ -25,6 +26,9 @@
 	metrics             = metric.NewGroup("balance")
 	chosenOwnZone       = metrics.Int("chosen-own-zone-requests")
 	chosenOtherZone     = metrics.Int("chosen-other-zone-requests")
+	spreadCalls         = metrics.Int("spread-requests")
+	spilledCalls        = metrics.Int("spilled-requests")
+	chosenCandidate     = metrics.Int("chosen-candidate-requests")
 	refusedEarly        = metrics.Int("refused-early-requests")
 	refusedNoHost       = metrics.Int("refused-no-host-requests")
 	refusedOutOfService = metrics.Int("refused-zone-out-of-service-requests")
@@ -47,6 +51,8 @@
 	// DisableEarlyRefusal sends calls even if all candidates refuse their urgency. It
 	// exists so that the effect of the refusal can be measured.
 	DisableEarlyRefusal bool
+	// CandidateFraction is the fraction of a service's calls that ask for a candidate.
+	CandidateFraction float64
 }
 
 // Request describes a call for which a host is to be chosen.
@@ -64,13 +70,18 @@
 	// Exclude holds the IDs of hosts that are not eligible because the call was
 	// already sent to them.
 	Exclude []string
+	// Candidate asks for a host whose version is not in force. Without one that takes
+	// the call, another host is chosen.
+	Candidate bool
 }
 
 // service holds the hosts of one service: those of the Balancer's own zone, nil if
-// there are none, and those of each other zone.
+// there are none, and those of each other zone. It holds its candidates apart, nil if
+// there are none.
 type service struct {
-	own    *group
-	others []*group
+	own        *group
+	others     []*group
+	candidates *candidates
 }
 
 // snapshot holds the hosts that Choose reads. The maps are not modified after it is
@@ -78,6 +89,9 @@
 type snapshot struct {
 	services map[string]*service
 	states   map[string]*state
+	// versioned holds the hosts of services with candidates by ID. It is nil if no
+	// service has any.
+	versioned map[string]versionedHost
 }
 
 // Balancer chooses hosts. Its methods may be called concurrently.
@@ -85,8 +99,13 @@
 	config   Config
 	snapshot atomic.Pointer[snapshot]
 
+	// spread holds the services whose calls are spread.
+	spread atomic.Pointer[map[string]bool]
+
 	mu    sync.Mutex
 	zones map[string]*zone
+	// superseded holds, by service with candidates, the version that its calls avoid.
+	superseded map[string]*superseded
 }
 
 // New returns a Balancer that knows no hosts.
@@ -99,9 +118,14 @@
 	}
 	b := &Balancer{config: config, zones: map[string]*zone{}}
 	b.snapshot.Store(&snapshot{})
+	b.SetSpread(nil)
 	return b
 }
 
+// SetSpread sets the services whose calls are spread over all hosts by their estimated
+// headroom. For others, the less loaded of two hosts is chosen.
+func (b *Balancer) SetSpread(services map[string]bool) { b.spread.Store(&services) }
+
 // SetHosts replaces the hosts of all services. The state of a host whose ID was
 // already listed is kept.
 func (b *Balancer) SetHosts(byService map[string][]Host) {
@@ -112,18 +136,23 @@
 		states:   make(map[string]*state),
 	}
 	for name, hosts := range byService {
+		if slices.ContainsFunc(hosts, func(h Host) bool { return h.Candidate }) {
+			b.addWithCandidates(next, name, hosts)
+			continue
+		}
 		next.services[name] = b.newService(hosts, next.states)
 	}
+	b.forgetSuperseded(next)
 	b.snapshot.Store(next)
 }
 
 func (b *Balancer) newService(hosts []Host, states map[string]*state) *service {
+	s := new(service)
 	byZone := map[string][]member{}
 	for _, host := range hosts {
 		m := member{host: host, state: b.reuseState(host.ID, states)}
 		byZone[host.Zone] = append(byZone[host.Zone], m)
 	}
-	s := new(service)
 	for _, name := range slices.Sorted(maps.Keys(byZone)) {
 		g := newGroup(b.zone(name), byZone[name])
 		if name == b.config.Zone {
@@ -184,12 +213,23 @@
 	if service == nil {
 		return Host{}, noHostError(&r)
 	}
-	s := search{request: &r, now: b.config.Now().UnixNano(), ignoreShedding: b.config.DisableEarlyRefusal}
-	if b.tryOwnZone(service, s.now) {
-		s.considerTwo(service.own, b.config.Random)
+	now := b.config.Now().UnixNano()
+	if service.candidates != nil {
+		host, decided, err := b.chooseCandidate(service.candidates, &r, now)
+		if decided {
+			return host, err
+		}
 	}
-	if s.saturated() && len(service.others) > 0 {
-		b.searchOtherZone(service, &s)
+	return b.chooseFrom(service, &r, now)
+}
+
+// chooseFrom returns a host of the service other than a candidate.
+func (b *Balancer) chooseFrom(service *service, r *Request, now int64) (Host, error) {
+	s := search{request: r, now: now, ignoreShedding: b.config.DisableEarlyRefusal}
+	if (*b.spread.Load())[r.Service] {
+		b.searchSpread(service, &s)
+	} else {
+		b.searchTwo(service, &s)
 	}
 	if s.best.member == nil {
 		b.searchAllZones(service, &s)
@@ -208,6 +248,17 @@
 	return s.best.member.host, nil
 }
 
+// searchTwo considers two hosts of the own zone and, if the less loaded one is saturated,
+// two of another zone.
+func (b *Balancer) searchTwo(service *service, s *search) {
+	if b.tryOwnZone(service, s.now) {
+		s.considerTwo(service.own, b.config.Random)
+	}
+	if s.saturated() && len(service.others) > 0 {
+		b.searchOtherZone(service, s)
+	}
+}
+
 // tryOwnZone reports whether to try the own zone first. While its traffic rises after a
 // return to service, it is tried first only for the fraction of the calls given by
 // zone.weight.
@@ -317,9 +368,15 @@
 
 // Observe records the load hint that came with a host's answer.
 func (b *Balancer) Observe(hostID string, l admission.Load, now time.Time) {
-	if s := b.state(hostID); s != nil {
+	snapshot := b.snapshot.Load()
+	if s := snapshot.states[hostID]; s != nil {
 		s.observe(l, now.UnixNano())
 	}
+	if l.Superseded {
+		if h, ok := snapshot.versioned[hostID]; ok {
+			h.supersede(now.UnixNano())
+		}
+	}
 }
 
 // RecordUnreachable records that a host could not be reached. The host is avoided
--- a/internal/call/packed.go
+++ b/internal/call/packed.go
@@ -19,6 +19,12 @@
 // fields, which this one ignores.
 type Packed struct{ Data []byte }
 
+// RawBytes implements peer.Raw.
+func (p *Packed) RawBytes() []byte { return p.Data }
+
+// SetRawBytes implements peer.Raw.
+func (p *Packed) SetRawBytes(data []byte) { p.Data = data }
+
 // packedVersion is the version of the encoding. It changes only if old nodes can no
 // longer read it.
 const packedVersion = 1
@@ -44,7 +50,11 @@
 	p.int(int64(r.Remaining))
 	p.int(int64(r.Patience))
 	p.int(int64(r.ExtraAttempts))
-	p.bools(r.NonRepeatable, r.Repeated)
+	p.bools(r.NonRepeatable, r.Repeated, r.Candidate)
+	if r.AdmitProbability != 0 || r.DemandCounted {
+		p.float(r.AdmitProbability)
+		p.bools(r.DemandCounted)
+	}
 	return Packed{p.data}
 }
 
@@ -67,7 +77,11 @@
 	r.Remaining = time.Duration(u.int())
 	r.Patience = time.Duration(u.int())
 	r.ExtraAttempts = int(u.int())
-	u.bools(&r.NonRepeatable, &r.Repeated)
+	u.bools(&r.NonRepeatable, &r.Repeated, &r.Candidate)
+	if u.more() {
+		r.AdmitProbability = u.float()
+		u.bools(&r.DemandCounted)
+	}
 	return r, u.err
 }
 
@@ -82,7 +96,13 @@
 	p.failure(a.Err)
 	p.load(a.Load)
 	p.int(int64(a.ExtraAttempts))
-	p.bools(a.Offered, a.NonRepeatable, a.RefusedBeneath)
+	p.bools(a.Offered, a.NonRepeatable, a.RefusedBeneath, a.Load.Superseded)
+	p.int(int64(a.Load.MeanSlotTime))
+	if a.Load.Levelled || a.Load.Closed != 0 || a.RefusedByLevel || a.ClosedBeneath != 0 {
+		p.bools(a.Load.Levelled, a.RefusedByLevel)
+		p.float(a.Load.Closed)
+		p.float(a.ClosedBeneath)
+	}
 	return Packed{p.data}
 }
 
@@ -101,7 +121,15 @@
 	a.Err = u.failure()
 	a.Load = u.load()
 	a.ExtraAttempts = int(u.int())
-	u.bools(&a.Offered, &a.NonRepeatable, &a.RefusedBeneath)
+	u.bools(&a.Offered, &a.NonRepeatable, &a.RefusedBeneath, &a.Load.Superseded)
+	if u.more() {
+		a.Load.MeanSlotTime = time.Duration(u.int())
+	}
+	if u.more() {
+		u.bools(&a.Load.Levelled, &a.RefusedByLevel)
+		a.Load.Closed = u.float()
+		a.ClosedBeneath = u.float()
+	}
 	return a, u.err
 }
 
@@ -143,7 +171,8 @@
 	}
 }
 
-// bools appends up to eight flags as one byte.
+// bools appends up to eight flags as one byte. Nodes of builds that have fewer flags
+// ignore the later ones, and read them as unset.
 func (p *packer) bools(flags ...bool) {
 	var b byte
 	for i, set := range flags {
@@ -199,6 +228,10 @@
 	return &unpacker{data: data[1:]}, nil
 }
 
+// more reports whether the message has further fields. Those that later versions have
+// appended are missing in messages of earlier ones, and left out if all are zero.
+func (u *unpacker) more() bool { return u.err == nil && len(u.data) > 0 }
+
 func (u *unpacker) fail() {
 	u.err = fmt.Errorf("%w: too short", ErrMalformed)
 	u.data = nil
--- a/internal/call/packed_test.go
+++ b/internal/call/packed_test.go
@@ -84,16 +84,79 @@
 		qt.Check(t, err, qt.ErrorIs, ErrMalformed)
 	}
 	for n := range answer.Data {
+		if n == len(answer.Data)-addedAnswerBytes {
+			continue // TestPackedByEarlierBuild decodes this one.
+		}
 		_, err := Packed{answer.Data[:n]}.Answer()
 		qt.Check(t, err, qt.ErrorIs, ErrMalformed)
 	}
 }
 
+// addedAnswerBytes is the size of the fields of sampleAnswer that the first build with
+// packed messages doesn't have.
+const addedAnswerBytes = 1
+
+// TestPackedByEarlierBuild decodes an answer without the fields that later builds added.
+// During an upgrade, nodes of both builds answer each other.
+func TestPackedByEarlierBuild(t *testing.T) {
+	data := sampleAnswer().Pack().Data
+	answer, err := Packed{data[:len(data)-addedAnswerBytes]}.Answer()
+	qt.Assert(t, err, qt.IsNil)
+	qt.Check(t, answer, qt.DeepEquals, sampleAnswer())
+}
+
 // TestPackedExtended appends fields of a later version, which are ignored.
 func TestPackedExtended(t *testing.T) {
-	request, err := Packed{append(sampleRequest().Pack().Data, 1, 2, 3)}.Request()
+	want := sampleRequest()
+	want.AdmitProbability, want.DemandCounted = 0.25, true
+	request, err := Packed{append(want.Pack().Data, 1, 2, 3)}.Request()
+	qt.Assert(t, err, qt.IsNil)
+	qt.Check(t, request, qt.DeepEquals, want)
+}
+
+// TestPackedEarlier cuts off the fields that the first version lacks, as a node of an
+// earlier build sends a message. The rest must be decoded, with these fields zero.
+// Without these fields a message must be as the first version packs it.
+func TestPackedEarlier(t *testing.T) {
+	request, answer := sampleRequest(), sampleAnswer()
+	first, firstAnswer := request.Pack().Data, answer.Pack().Data
+	request.AdmitProbability, request.DemandCounted = 0.25, true
+	answer.Load.Levelled, answer.Load.Closed, answer.ClosedBeneath, answer.RefusedByLevel = true, 1.5, 2.5, true
+	extended, extendedAnswer := request.Pack().Data, answer.Pack().Data
+	qt.Check(t, len(extended) > len(first) && len(extendedAnswer) > len(firstAnswer), qt.IsTrue)
+	unpacked, err := Packed{extended[:len(first)]}.Request()
+	qt.Assert(t, err, qt.IsNil)
+	qt.Check(t, unpacked, qt.DeepEquals, sampleRequest())
+	unpackedAnswer, err := Packed{extendedAnswer[:len(firstAnswer)]}.Answer()
 	qt.Assert(t, err, qt.IsNil)
-	qt.Check(t, request, qt.DeepEquals, sampleRequest())
+	qt.Check(t, unpackedAnswer, qt.DeepEquals, sampleAnswer())
+	for n := len(first) + 1; n < len(extended); n++ {
+		_, err := Packed{extended[:n]}.Request()
+		qt.Check(t, err, qt.ErrorIs, ErrMalformed)
+	}
+	for n := len(firstAnswer) + 1; n < len(extendedAnswer); n++ {
+		_, err := Packed{extendedAnswer[:n]}.Answer()
+		qt.Check(t, err, qt.ErrorIs, ErrMalformed)
+	}
+}
+
+// TestPackedFlags guards against flags of rollouts that nodes of builds without them can't
+// pass over: they must not make a message longer, nor change anything but its byte of flags.
+func TestPackedFlags(t *testing.T) {
+	request, answer := sampleRequest(), sampleAnswer()
+	request.Header, answer.Header = nil, nil // The order of headers in a message differs.
+	plainRequest, plainAnswer := request.Pack().Data, answer.Pack().Data
+	request.Candidate, answer.Load.Superseded = true, true
+	checkFlags(t, plainRequest, request.Pack().Data, len(plainRequest)-1)
+	checkFlags(t, plainAnswer, answer.Pack().Data, len(plainAnswer)-1-addedAnswerBytes)
+}
+
+// checkFlags checks that marked is plain but for new flags in the byte at flags.
+func checkFlags(t *testing.T, plain, marked []byte, flags int) {
+	qt.Assert(t, marked, qt.HasLen, len(plain))
+	qt.Check(t, marked[flags]&0b11, qt.Equals, plain[flags]&0b11)
+	qt.Check(t, marked[:flags], qt.DeepEquals, plain[:flags])
+	qt.Check(t, marked[flags+1:], qt.DeepEquals, plain[flags+1:])
 }
 
 func FuzzPacked(f *testing.F) {
--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -74,6 +74,7 @@
 		metricRetries.Add(1)
 		e.log.retried(x, host, attempt, failure)
 		x.request.Repeated = x.request.Repeated || offered
+		x.request.DemandCounted = x.request.DemandCounted || e.demandCounted(host, failure)
 		if host != "" {
 			excluded = append(excluded, host)
 		}
@@ -158,6 +159,8 @@
 		Urgency: x.request.Urgency,
 		Nested:  x.request.Depth > 0,
 		Exclude: excluded,
+
+		Candidate: e.useCandidate(x, number),
 	})
 	if err != nil {
 		return "", false, err
@@ -173,6 +176,7 @@
 	budgetShare := e.budgetShare(x)
 	request := x.request
 	request.ID = x.id + "/" + strconv.Itoa(number)
+	request.Candidate = host.Candidate
 	request.ExtraAttempts = budgetShare.Retries()
 	if deadline, ok := ctx.Deadline(); ok {
 		request.Remaining = time.Until(deadline)
@@ -197,6 +201,14 @@
 	return host.ID, err == nil || answer.Offered, err
 }
 
+// useCandidate reports whether an attempt asks for a host whose version is not in force.
+// Only first attempts do, and no nested calls of repeated ones: what failed on such a
+// host is retried on another.
+func (e *Entry) useCandidate(x *activeCall, attempt int) bool {
+	return e.config.Rollouts != nil && attempt == 1 && !x.request.Repeated &&
+		e.config.Rollouts.UseCandidate(x.request.Service)
+}
+
 // accept takes the outcome of an attempt: it makes the response of a backend server the
 // call's answer, and returns any other outcome as an error.
 func (e *Entry) accept(x *activeCall, result *sendResult) error {
@@ -208,14 +220,16 @@
 		e.nonRepeatableRoutes.LoadOrStore(x.request.Route, nil)
 		x.noteNonRepeatable(true)
 	}
-	e.config.Balancer.Observe(host.ID, answer.Load, time.Now())
-	e.throttle.Observe(e.throttleKind(x), answer.RefusedBeneath, time.Now())
+	now := time.Now()
+	e.config.Balancer.Observe(host.ID, answer.Load, now)
+	e.observeLevel(x, answer, now)
+	e.throttle.Observe(e.throttleKind(x), e.refusedForThrottle(answer), now)
 	if answer.Err == nil {
 		x.answer = answer
 		return nil
 	}
 	if answer.Err.Code == verdict.BackendUnreachable {
-		e.config.Balancer.RecordUnreachable(host.ID, time.Now())
+		e.config.Balancer.RecordUnreachable(host.ID, now)
 	}
 	return answer.Err
 }
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -21,16 +21,18 @@
 	"curranthold.example/curranthold/internal/balance"
 	"curranthold.example/curranthold/internal/call"
 	"curranthold.example/curranthold/internal/claim"
+	"curranthold.example/curranthold/internal/clientlimit"
 	"curranthold.example/curranthold/internal/configuration"
 	"curranthold.example/curranthold/internal/kernel"
 	"curranthold.example/curranthold/internal/owner"
 	"curranthold.example/curranthold/internal/peer"
 	"curranthold.example/curranthold/internal/retry"
+	"curranthold.example/curranthold/internal/treeadmit"
 	"curranthold.example/curranthold/pkg/verdict"
 )
 
 // rootStages lists the stages for a call from a caller, in order.
-var rootStages = []string{"route", "key", "body", "deadline", "quota", "claim", "attempt"}
+var rootStages = []string{"route", "key", "body", "deadline", "tree", "quota", "claim", "attempt"}
 
 // nestedStages lists the stages for a call from the backend server on this host, in
 // order. It has no key and quota stages, because a nested call inherits the client
@@ -65,6 +67,13 @@
 	Parent(token string) (*owner.Parent, bool)
 }
 
+// Rollouts decides which calls are sent to versions that are not in force.
+type Rollouts interface {
+	// UseCandidate reports whether the next first attempt of a call to the service is
+	// sent to a candidate.
+	UseCandidate(service string) bool
+}
+
 // Config contains the dependencies and settings of an entry.
 type Config struct {
 	Host string
@@ -82,12 +91,16 @@
 	Balancer *balance.Balancer
 	Peers    peer.Caller
 	Owner    Owner
+	// Rollouts may be nil.
+	Rollouts Rollouts
 	// RequestBytes is the maximum size of a request body.
 	RequestBytes int64
 	// CallsInFlight bounds the concurrent calls from callers, and BytesInFlight
 	// the total size of the request bodies held in memory. 0 means no bound.
 	CallsInFlight int
 	BytesInFlight int64
+	// Clients bounds the memory of requests, bodies and responses; nil means no bound.
+	Clients *clientlimit.Budget
 	// DefaultTimeout is the timeout of routes that set none.
 	DefaultTimeout time.Duration
 	// ExtraAttempts is the number of attempts that a root request may make beyond
@@ -111,6 +124,10 @@
 	// DisableThrottle disables the throttle, which refuses calls whose nested calls
 	// are likely to be refused, to measure its effect.
 	DisableThrottle bool
+	// TreeAdmission makes the entry admit root requests by the admission levels of the
+	// services of their call trees. For refusals of services that report levels it
+	// replaces the throttle.
+	TreeAdmission bool
 }
 
 // Entry handles incoming calls.
@@ -126,6 +143,10 @@
 	latencies routeLatencies
 	// throttle refuses calls whose nested calls are likely to be refused.
 	throttle balance.Throttle
+	// tree decides which root requests are admitted, if TreeAdmission is set.
+	tree treeadmit.Roots
+	// levelled holds the names of the services that report admission levels.
+	levelled sync.Map
 	// nonRepeatableRoutes holds the names of the routes whose calls have begun
 	// non-repeatable nested calls; see mayRepeat.
 	nonRepeatableRoutes sync.Map
@@ -166,10 +187,9 @@
 
 // enabledStages returns the given stages without those that c disables.
 func (c *Config) enabledStages(stages []string) []string {
-	if c.Claims != nil {
-		return stages
-	}
-	return slices.DeleteFunc(slices.Clone(stages), func(name string) bool { return name == "claim" })
+	return slices.DeleteFunc(slices.Clone(stages), func(name string) bool {
+		return (name == "claim" && c.Claims == nil) || (name == "tree" && !c.TreeAdmission)
+	})
 }
 
 // SetRetryBurst sets the burst of the retry buckets: the number of retries that this
@@ -215,9 +235,9 @@
 	failovers int
 	// generation is the generation of the configuration that routed the call.
 	generation uint64
-	// maxBodyBytes is an upper bound of the body's size; readBody reads the body.
-	maxBodyBytes int64
-	readBody     func() ([]byte, error)
+	// readBody reads the body. Release frees the memory that is reserved for it, also
+	// after an error.
+	readBody func() (body []byte, release func(), err error)
 	// timeout is the caller's timeout, counted from arrived; 0 if not given.
 	timeout time.Duration
 	arrived time.Time
@@ -246,7 +266,7 @@
 
 // CallerHandler returns the handler for calls from callers.
 func (e *Entry) CallerHandler() http.Handler {
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	return e.limitRequests(func(w http.ResponseWriter, r *http.Request) {
 		if e.requestsTickets(r) {
 			e.serveTickets(w, r)
 			return
@@ -294,7 +314,7 @@
 }
 
 // NestedHandler returns the handler for calls from the backend server on this host.
-func (e *Entry) NestedHandler() http.Handler { return http.HandlerFunc(e.serveNested) }
+func (e *Entry) NestedHandler() http.Handler { return e.limitRequests(e.serveNested) }
 
 func (e *Entry) serveRoot(w http.ResponseWriter, r *http.Request) {
 	x, err := e.readRequest(w, r)
@@ -319,10 +339,11 @@
 	}
 	x.request.Repeated = x.inferredParent.Request().Repeated
 	x.request.Progress = x.inferredParent.Progress()
+	x.request.AdmitProbability = x.inferredParent.Request().AdmitProbability
 	defer x.inferredParent.BeginNested()()
 	ctx, cancel := e.nestedContext(ctx, x.inferredParent)
 	defer cancel()
 	err := e.root(ctx, x)
-	x.reportToParent(x.inferredParent, err)
+	e.reportToParent(x, x.inferredParent, err)
 	return err
 }
--- a/internal/entry/remote.go
+++ b/internal/entry/remote.go
@@ -9,6 +9,7 @@
 	"curranthold.example/curranthold/internal/balance"
 	"curranthold.example/curranthold/internal/call"
 	"curranthold.example/curranthold/internal/event"
+	"curranthold.example/curranthold/internal/httpstatus"
 	"curranthold.example/curranthold/internal/peer"
 	"curranthold.example/curranthold/pkg/verdict"
 )
@@ -90,6 +91,11 @@
 	case !answer.Matches(a.request):
 		result.err = verdict.New(verdict.MayHaveRun, verdict.AnswerMismatch,
 			"host %s sent a damaged answer or one to another call", a.host.ID)
+	case answer.Err == nil && !httpstatus.IsFinal(answer.Status):
+		// Nodes of earlier builds pass on what their backend servers send.
+		metricInvalidStatuses.Add(1)
+		result.err = verdict.New(verdict.MayHaveRun, verdict.StatusInvalid,
+			"host %s sent status %d, which is none of a final response", a.host.ID, answer.Status)
 	default:
 		result.answer = answer
 	}
@@ -99,7 +105,8 @@
 	return result
 }
 
-// watchAttempt monitors the host during an attempt, until the returned function is called.
+// watchAttempt monitors the host during an attempt, until the attempt's context ends. The
+// returned function must be called before; it keeps a monitoring from starting.
 func (e *Entry) watchAttempt(a *remoteAttempt) (stop func()) {
 	onUnresponsive := func() {
 		a.isUnresponsive.Store(true)
@@ -107,17 +114,14 @@
 		eventUnresponsive.Log(event.Fields{"host": a.host.ID, "zone": a.host.Zone, "request": a.request.RequestID})
 		close(a.unresponsive)
 	}
-	watched, cancel := context.WithCancel(a.ctx)
-	// Most attempts end before pingAfter and need no goroutine.
+	// Most attempts end before pingAfter and need no goroutine. The goroutine ends with
+	// a.ctx, soon after the exchange.
 	timer := time.AfterFunc(pingAfter, func() {
-		if watched.Err() == nil {
-			e.wg.Go(func() { e.watchHost(watched, a.host, onUnresponsive) })
+		if a.ctx.Err() == nil {
+			e.wg.Go(func() { e.watchHost(a.ctx, a.host, onUnresponsive) })
 		}
 	})
-	return func() {
-		timer.Stop()
-		cancel()
-	}
+	return func() { timer.Stop() }
 }
 
 // unansweredError returns the error of an attempt that ended without an answer, and
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -4,7 +4,6 @@
 import (
 	"context"
 	"errors"
-	"net"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -14,6 +13,7 @@
 	"curranthold.example/curranthold/internal/admission"
 	"curranthold.example/curranthold/internal/balance"
 	"curranthold.example/curranthold/internal/claim"
+	"curranthold.example/curranthold/internal/clientlimit"
 	"curranthold.example/curranthold/internal/configuration"
 	"curranthold.example/curranthold/internal/entry"
 	"curranthold.example/curranthold/internal/event"
@@ -23,6 +23,7 @@
 	"curranthold.example/curranthold/internal/pipeline"
 	"curranthold.example/curranthold/internal/platform"
 	"curranthold.example/curranthold/internal/quota"
+	"curranthold.example/curranthold/internal/rollout"
 	"curranthold.example/curranthold/internal/settings"
 	"curranthold.example/curranthold/internal/tally"
 	"curranthold.example/curranthold/pkg/object"
@@ -62,8 +63,14 @@
 	tally     *tally.Manager
 	admission *admission.Controller
 	balancer  *balance.Balancer
-	owner     *owner.Owner
-	entry     *entry.Entry
+	// rollout, records and versions are nil if the settings disable rollouts.
+	rollout  *rollout.Manager
+	records  *rolloutRecords
+	versions *versionGate
+	// withdrawal is used only with rollouts.
+	withdrawal withdrawal
+	owner      *owner.Owner
+	entry      *entry.Entry
 	// leaving holds the hosts that have announced that they are leaving. Only the
 	// membership's callback uses it.
 	leaving map[string]bool
@@ -79,7 +86,9 @@
 	// memberSnapshot needs no lock: calls of applyMembers never overlap.
 	memberSnapshot memberSnapshot
 	listeners      listeners
-	servers        []*http.Server
+	// clients bounds what clients make the node hold.
+	clients *clientlimit.Budget
+	servers []*http.Server
 	// pipelined is the listener for callers' pipelined requests, nil if none are read ahead.
 	pipelined *pipeline.Listener
 	wg        conc.WaitGroup
@@ -107,6 +116,12 @@
 		storeEra: configuration.Era(0),
 	}
 	n.retrySlack.Store(int64(s.Limits.RetrySlack))
+	n.clients = clientlimit.New(clientlimit.Limits{
+		MemoryBytes:      int64(s.Limits.MemoryBytes),
+		MaxHeadBytes:     maxHeaderBytes,
+		MaxBodyBytes:     int64(s.Limits.RequestBytes),
+		MaxResponseBytes: int64(s.Limits.AnswerBytes),
+	})
 	n.platform = platform.New(platform.Config{
 		TableAddress: s.Platform.TableAddress,
 		StoreAddress: s.Platform.ObjectStoreAddress,
@@ -118,6 +133,7 @@
 	source := new(generationSource)
 	n.pool = peer.NewPool(s.Secret(), s.PeerAddress, source)
 	n.peers = peer.NewServer(s.Secret(), source)
+	n.peers.SetMaxHandshakes(connectionLimit(peerHandshakes))
 	n.configuration = configuration.New(configuration.Config{
 		Host: s.Host, Zone: s.AvailabilityZone, Table: n.platform, Store: n.platform.Objects(),
 		Source: adapter.Source, Peers: n.pool,
@@ -161,30 +177,37 @@
 	})
 	n.balancer = balance.New(balance.Config{
 		Zone: s.AvailabilityZone, DisableEarlyRefusal: s.Limits.Disabled(settings.EarlyRefusal),
+		CandidateFraction: canaryFraction * n.canaryShare(),
 	})
+	n.buildRollout()
 }
 
 // buildCallPath builds the components at the two ends of a call: the entry, which
 // takes calls from callers, and the owner, which passes them to the backend server.
 func (n *Node) buildCallPath() error {
-	var err error
-	n.owner, err = owner.New(owner.Config{
+	ownerConfig := owner.Config{
 		AnswerBytes:       int64(n.settings.Limits.AnswerBytes),
 		AnswerHeaderBytes: int64(n.settings.Limits.AnswerHeaderBytes),
 		LargeAnswers:      n.settings.Limits.LargeAnswers,
 		Admission:         n.admission,
-		OnBackendChange:   func(a owner.Announcement) { n.members.Announce(a.Service, a.Slots, a.Cold) },
+		OnBackendChange:   n.announceBackend,
 		IsKeyWithdrawn:    n.isKeyWithdrawn,
 		Codec:             n.adapter.Backend,
+		Clients:           n.clients,
 		Service:           n.declaredService,
 		WarmStart:         n.adapter.external() && n.settings.Limits.WarmStart,
+		TreeAdmission:     n.adapter.external() && n.settings.Limits.TreeAdmission,
 
 		RequestIDTokens: n.adapter.external(),
 		AnnouncementTTL: n.settings.AnnouncementTTL(),
 		ColdRateFactor:  1 + float64(n.settings.Limits.ColdOveragePercent)/100/overageDivisor,
 		IdleTimeout:     n.settings.IdleTimeout(),
-	})
-	if err != nil {
+	}
+	if n.rollout != nil {
+		ownerConfig.Rollout = n.versions
+	}
+	var err error
+	if n.owner, err = owner.New(ownerConfig); err != nil {
 		return err
 	}
 	config := entry.Config{
@@ -200,11 +223,16 @@
 		RequestBytes:      int64(n.settings.Limits.RequestBytes),
 		CallsInFlight:     n.settings.Limits.CallsInFlight,
 		BytesInFlight:     int64(n.settings.Limits.BytesInFlight),
+		Clients:           n.clients,
 		DefaultTimeout:    n.settings.DefaultTimeout(),
 		ExtraAttempts:     n.settings.Limits.ExtraAttempts,
 		DisableRetryLimit: n.settings.Limits.Disabled(settings.RetryBudget),
 		DisableHedging:    n.settings.Limits.Disabled(settings.Hedging),
 		DisableThrottle:   n.settings.Limits.Disabled(settings.Throttle),
+		TreeAdmission:     n.adapter.external() && n.settings.Limits.TreeAdmission,
+	}
+	if n.rollout != nil {
+		config.Rollouts = n.rollout
 	}
 	if n.adapter.external() {
 		config.Quota = n.tally
@@ -234,15 +262,20 @@
 	n.wg.Go(func() { _ = n.configuration.Run(control) })
 	if n.adapter.external() {
 		n.wg.Go(func() { _ = n.tally.Run(control) })
-		n.serve(n.listeners.ready, n.adapter.Readiness(n.acceptsCalls))
+		n.serve(n.listeners.ready, n.adapter.Readiness(n.acceptsCalls), readyConnections)
 		n.wg.Go(func() { n.checkBackend(control) })
 	} else {
 		n.wg.Go(func() { _ = n.quota.Run(control) })
 		n.wg.Go(func() { _ = n.claims.Run(control) })
 	}
 	n.wg.Go(func() { n.expireAnnouncements(control) })
-	n.serve(n.listeners.backend, n.backendHandler())
-	n.serve(n.listeners.operator, n.operatorHandler())
+	if n.rollout != nil {
+		n.wg.Go(func() { _ = n.rollout.Run(control) })
+		n.wg.Go(func() { n.announceCandidate(control) })
+	}
+	n.wg.Go(func() { n.clients.Run(control) })
+	n.serve(n.listeners.backend, n.backendHandler(), backendConnections)
+	n.serve(n.listeners.operator, n.operatorHandler(), operatorConnections)
 	calls := &drainHandler{handler: n.entry.CallerHandler(), refusal: n.entry.LeavingHandler()}
 	var callers *http.Server
 	if n.adapter.external() {
@@ -309,35 +342,12 @@
 		receivers["Quota"] = n.quota.RPC()
 		receivers["Claim"] = n.claims.RPC()
 	}
+	if n.rollout != nil {
+		receivers[rollout.ServiceName] = n.rollout.RPC()
+	}
 	var errs []error
 	for name, receiver := range receivers {
 		errs = append(errs, n.peers.Register(name, receiver))
 	}
 	return errors.Join(errs...)
 }
-
-// serve starts an HTTP server with limits on the size and the read time of request
-// headers.
-func (n *Node) serve(listener net.Listener, handler http.Handler) *http.Server {
-	server := newServer(handler)
-	n.start(server, listener)
-	return server
-}
-
-// start runs an HTTP server until the shutdown.
-func (n *Node) start(server *http.Server, listener net.Listener) {
-	n.servers = append(n.servers, server)
-	n.wg.Go(func() { _ = server.Serve(listener) })
-}
-
-// newServer returns an HTTP server that serve starts.
-func newServer(handler http.Handler) *http.Server {
-	return &http.Server{
-		Handler:           handler,
-		ReadHeaderTimeout: headerTimeout,
-		IdleTimeout:       idleTimeout,
-		MaxHeaderBytes:    maxHeaderBytes,
-		// A caller must not get a success that no backend server gave.
-		DisableGeneralOptionsHandler: true,
-	}
-}
--- a/internal/node/pipelined.go
+++ b/internal/node/pipelined.go
@@ -19,13 +19,13 @@
 func (n *Node) serveCallers(handler http.Handler) *http.Server {
 	limits := n.settings.Limits
 	if limits.PipelinedRequests == 0 {
-		return n.serve(n.listeners.caller, handler)
+		return n.serve(n.listeners.caller, handler, callerConnections)
 	}
 	total := int64(pipelinedBytes)
 	if limits.MemoryBytes > 0 {
 		total = int64(limits.MemoryBytes / pipelinedDivisor)
 	}
-	n.pipelined = pipeline.NewListener(n.listeners.caller, pipeline.Config{
+	n.pipelined = pipeline.NewListener(n.limit(n.listeners.caller, callerConnections), pipeline.Config{
 		Requests: limits.PipelinedRequests, BufferBytes: maxHeaderBytes, TotalBytes: total,
 	})
 	server := newServer(handler)
--- a/internal/node/pipelined_test.go
+++ b/internal/node/pipelined_test.go
@@ -13,6 +13,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"curranthold.example/curranthold/internal/clientlimit"
 	"curranthold.example/curranthold/internal/socket"
 )
 
@@ -34,7 +35,7 @@
 				_, _ = io.WriteString(w, r.URL.Path)
 			})
 			calls := &drainHandler{handler: handler, refusal: handler}
-			n := new(Node)
+			n := &Node{clients: clientlimit.New(clientlimit.Limits{})}
 			n.settings.Limits.PipelinedRequests = 8
 			var err error
 			n.listeners.caller, err = openBacklog(socket.ListenConfig().Listen(t.Context(), "tcp", "127.0.0.1:0"))
--- a/internal/node/subscribe.go
+++ b/internal/node/subscribe.go
@@ -24,6 +24,7 @@
 		n.applyHosts(members)
 	}
 	if diff.backends {
+		n.applyVersions(members)
 		n.applyBackends(members)
 	}
 }
@@ -67,7 +68,7 @@
 		}
 		byService[m.Service] = append(byService[m.Service], balance.Host{
 			ID: m.ID, Zone: m.Zone, Address: m.Address, Slots: m.Slots,
-			Leaving: m.Leaving, Cold: m.Cold,
+			Leaving: m.Leaving, Cold: m.Cold, Version: m.BackendVersion, Candidate: m.Candidate,
 		})
 	}
 	n.balancer.SetHosts(byService)
@@ -96,11 +97,13 @@
 func (n *Node) applyConfiguration(s *configuration.Snapshot) {
 	n.applyStoreEra(configuration.Era(s.Generation()))
 	n.applyAccountLimits(s)
+	n.applyOrders(s)
 	inService := make(map[string]bool)
 	for name, spec := range s.Zones() {
 		inService[name] = spec.InService
 	}
 	n.balancer.SetZones(inService)
+	n.balancer.SetSpread(n.spreadServices(s))
 	own, declared := s.Zone(n.settings.AvailabilityZone)
 	n.admission.SetZoneInService(!declared || own.InService)
 	n.owner.CancelWithdrawn()
@@ -109,6 +112,20 @@
 	}
 }
 
+// spreadServices returns the services whose calls are spread over all hosts. A server with
+// a cold rate is limited by that rate while it is cold, which the estimate of its headroom
+// does not cover.
+func (n *Node) spreadServices(s *configuration.Snapshot) map[string]bool {
+	if !n.settings.Limits.EvenLoad {
+		return nil
+	}
+	spread := make(map[string]bool)
+	for name, spec := range s.Services() {
+		spread[name] = spec.ColdRate == 0
+	}
+	return spread
+}
+
 // applyStoreEra renews this host's row in the directory if the platform's store has come
 // back from an older copy, which may lack the row.
 func (n *Node) applyStoreEra(era uint64) {
--- a/internal/owner/heartbeat.go
+++ b/internal/owner/heartbeat.go
@@ -154,6 +154,7 @@
 		Connections:   a.Connections,
 		Cold:          a.Cold,
 		Warm:          o.config.WarmStart && declared && !a.Cold && coldFor <= 0,
+		Levelled:      o.config.TreeAdmission && declared && spec.ColdRate == 0,
 		Incarnation:   incarnationID(a.Incarnation, startMs),
 		ColdRate:      spec.ColdRate * cmp.Or(o.config.ColdRateFactor, 1),
 		ColdRemaining: coldFor,
@@ -161,7 +162,7 @@
 	if changed {
 		eventAnnounced.Log(event.Fields{
 			"service": a.Service, "address": a.Address, "slots": a.Slots, "cold": a.Cold,
-			"incarnation": a.Incarnation, "born": startMs, "cold-ms": coldFor.Milliseconds(),
+			"version": a.Version, "incarnation": a.Incarnation, "born": startMs, "cold-ms": coldFor.Milliseconds(),
 		})
 		o.notify(a)
 	}
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -3,7 +3,6 @@
 package owner
 
 import (
-	"bytes"
 	"cmp"
 	"context"
 	"errors"
@@ -13,13 +12,15 @@
 
 	"curranthold.example/curranthold/internal/admission"
 	"curranthold.example/curranthold/internal/call"
+	"curranthold.example/curranthold/internal/clientlimit"
 	"curranthold.example/curranthold/internal/kernel"
+	"curranthold.example/curranthold/internal/treeadmit"
 	"curranthold.example/curranthold/pkg/object"
 	"curranthold.example/curranthold/pkg/verdict"
 )
 
 // stageOrder lists the owner's stages in order.
-var stageOrder = []string{"service", "admission", "backend"}
+var stageOrder = []string{"memory", "service", "rollout", "admission", "rollout", "backend"}
 
 // stages is the registry of the owner's stages.
 var stages kernel.Registry[*Owner, *activeCall]
@@ -50,6 +51,9 @@
 	// WarmStart makes the concurrency limit start at the slots if the backend server
 	// says that it isn't cold and its service is declared without a cold rate.
 	WarmStart bool
+	// TreeAdmission makes the owner report admission levels: its own, if its service is
+	// declared without a cold rate, and those of the services that nested calls use.
+	TreeAdmission bool
 	// RequestIDTokens makes Parent find a running call by its RequestID instead of a
 	// random call token. It is set if backend servers pass on no call tokens.
 	RequestIDTokens bool
@@ -59,6 +63,10 @@
 	// ColdRateFactor is the call rate allowed for a backend server in cold start, as
 	// a multiple of the ColdRate of its service; 0 means 1.
 	ColdRateFactor float64
+	// Rollout decides which calls are refused during a rollout. It may be nil.
+	Rollout Rollout
+	// Clients bounds the memory of calls from other nodes; nil means no bound.
+	Clients *clientlimit.Budget
 	// IdleTimeout is how long an idle connection to the backend server is kept
 	// open; 0 means a minute.
 	IdleTimeout time.Duration
@@ -75,6 +83,8 @@
 	// cancel ends the call, and offer decides whether it may still be offered.
 	cancel context.CancelFunc
 	offer  offer
+	// leaving and superseded are what the rollout last said about new calls.
+	leaving, superseded bool
 }
 
 // Owner handles the calls for the backend server on its host.
@@ -83,8 +93,10 @@
 	handler      kernel.Handler[*activeCall]
 	callTokens   callTokens
 	waitingCalls waitingCalls
-	// largeAnswers holds a buffer for each large body that may be read now.
-	largeAnswers chan *bytes.Buffer
+	// beneath holds the admission levels of the services that nested calls use.
+	beneath treeadmit.Beneath
+	// largeAnswers holds an element for each large body that is being read.
+	largeAnswers chan struct{}
 
 	// announceMu serializes HandleHeartbeat, MarkDeparted and AnnounceProvisionally.
 	announceMu sync.Mutex
@@ -111,10 +123,7 @@
 		config.Codec = defaultCodec{}
 	}
 	o := &Owner{config: config, running: make(map[string]*activeCall)}
-	o.largeAnswers = make(chan *bytes.Buffer, cmp.Or(config.LargeAnswers, defaultLargeAnswers))
-	for range cap(o.largeAnswers) {
-		o.largeAnswers <- new(bytes.Buffer)
-	}
+	o.largeAnswers = make(chan struct{}, cmp.Or(config.LargeAnswers, defaultLargeAnswers))
 	handler, err := stages.Build(o, stageOrder...)
 	if err != nil {
 		return nil, err
@@ -140,8 +149,11 @@
 	answer.ID = request.ID
 	defer answer.Seal()
 	err := o.handler(ctx, c)
-	answer.Load = o.config.Admission.Load()
+	answer.Load = o.load(c)
 	answer.ExtraAttempts = request.ExtraAttempts
+	if o.config.TreeAdmission {
+		answer.ClosedBeneath = o.beneath.Closed(request.Route, time.Now())
+	}
 	if c.parent != nil {
 		answer.ExtraAttempts = c.parent.close()
 		answer.NonRepeatable = c.parent.nonRepeatable.Load()
@@ -155,6 +167,7 @@
 	}
 	metricServed.Add(1)
 	answer.RefusedBeneath = answer.Status >= http.StatusInternalServerError && c.parent.refused.Load()
+	answer.RefusedByLevel = answer.RefusedBeneath && !c.parent.refusedWithoutLevel.Load()
 }
 
 // Parent returns the running call with the given call token, or with the given
@@ -243,11 +256,30 @@
 }
 
 func init() {
+	stages.Register("memory", memoryStage)
 	stages.Register("service", serviceStage)
 	stages.Register("admission", admissionStage)
+	stages.Register("rollout", rolloutStage)
 	stages.Register("backend", backendStage)
 }
 
+// memoryStage refuses a call from another node for which there is no memory. The entry on
+// this host has reserved memory for its own calls. Many entries may send large bodies to
+// one owner, whose backend server is slow.
+func memoryStage(o *Owner) kernel.Stage[*activeCall] {
+	return func(ctx context.Context, c *activeCall, next kernel.Handler[*activeCall]) error {
+		if !c.ownsHeader {
+			return next(ctx, c)
+		}
+		cost := clientlimit.HeaderCost(c.request.Header) + clientlimit.BodyCost(int64(len(c.request.Body)))
+		if !o.config.Clients.Take(clientlimit.Bodies, cost) {
+			return verdict.New(verdict.NotRun, verdict.Overloaded, "this node has no memory for more calls")
+		}
+		defer o.config.Clients.Return(clientlimit.Bodies, cost)
+		return next(ctx, c)
+	}
+}
+
 // serviceStage refuses a call if the backend server on this host does not serve the
 // call's service.
 func serviceStage(o *Owner) kernel.Stage[*activeCall] {
@@ -275,7 +307,9 @@
 		c.permit = permit
 		err = next(ctx, c)
 		metricBackend.Record(time.Since(admitted))
-		permit.Done(c.outcome(err))
+		outcome := c.outcome(err)
+		o.recordResponse(c, outcome)
+		permit.Done(outcome)
 		return err
 	}
 }
@@ -298,6 +332,9 @@
 		Deadline:      deadline,
 		NonRepeatable: r.NonRepeatable,
 		MaxWait:       r.Patience,
+
+		AdmitProbability: r.AdmitProbability,
+		DemandCounted:    r.DemandCounted,
 	})
 	if err != nil && errors.Is(context.Cause(ctx), errKeyWithdrawn) {
 		return nil, keyWithdrawnError()
@@ -316,7 +353,7 @@
 		return admission.Failed
 	case verdict.From(err).Code == verdict.BackendRefused:
 		return admission.Refused
-	case verdict.From(err).Code == verdict.Cancelled:
+	case verdict.From(err).Code == verdict.Cancelled, verdict.From(err).Code == verdict.Leaving:
 		return admission.Abandoned
 	default:
 		return admission.Broken
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -102,6 +102,9 @@
 	// applies it only when its settings are reloaded, and takes 0 for a burst of 10
 	// of its own.
 	RetrySlack int `json:"retry-slack"`
+	// EvenLoad spreads the calls of each service that declares no cold rate over all its
+	// hosts by their estimated headroom, in place of the less loaded of two hosts.
+	EvenLoad bool `json:"even-load"`
 	// QuotaOveragePercent is the percentage by which the users' platform tolerates
 	// that a client account exceeds its rate and burst. A node with an adapter raises
 	// the rates by half of it; the rest covers inexact estimates.
@@ -117,9 +120,17 @@
 	// AnnouncementMs is how long an announcement of the backend server is valid,
 	// unless it is repeated.
 	AnnouncementMs int `json:"announcement-ms"`
-	// MemoryBytes is the memory limit of the Go runtime, which only the sidecar
-	// command sets; 0 means none.
+	// MemoryBytes is the memory limit of the node: of the Go runtime, and of what
+	// clients can make the node hold; 0 means none.
 	MemoryBytes int `json:"memory-bytes"`
+	// CanaryPercent is the largest percentage of a service's requests that a bad version
+	// may get during its rollout, in addition to CanarySlack requests. 0 disables
+	// rollouts.
+	CanaryPercent int `json:"canary-percent"`
+	CanarySlack   int `json:"canary-slack"`
+	// RollbackMs is how soon after its 50th bad response a bad version must not be sent
+	// requests any more.
+	RollbackMs int `json:"rollback-ms"`
 	// IdleMs is how long an idle connection to the backend server is kept open.
 	IdleMs int `json:"idle-ms"`
 	// WarmStart makes the concurrency limit of a backend server that says that it
@@ -129,6 +140,10 @@
 	// PipelinedRequests is the number of requests that are read ahead on one connection
 	// of a caller and run at once; 0 reads the next request when the last is answered.
 	PipelinedRequests int `json:"pipelined-requests"`
+	// TreeAdmission makes entries admit root requests by the capacity of all services
+	// of their call trees, as far as these declare no cold rate. A node without an
+	// adapter ignores it.
+	TreeAdmission bool `json:"tree-admission"`
 	// DisabledMechanisms names mechanisms to switch off, to measure the effect of
 	// each. It is meant for tests only.
 	DisabledMechanisms []string `json:"disabled-mechanisms"`
@@ -192,6 +207,8 @@
 			LeaveNoticeMs:     1000,
 			AnnouncementMs:    4000,
 			IdleMs:            60_000,
+			CanarySlack:       50,
+			RollbackMs:        5000,
 		},
 	}
 }
@@ -222,6 +239,10 @@
 // AnnouncementTTL is how long an announcement is valid unless it is repeated.
 func (s Settings) AnnouncementTTL() time.Duration { return milliseconds(s.Limits.AnnouncementMs) }
 
+// RollbackTime is how soon after its 50th bad response a bad version must not be sent
+// requests any more.
+func (s Settings) RollbackTime() time.Duration { return milliseconds(s.Limits.RollbackMs) }
+
 // ShutdownTimeout bounds a graceful shutdown.
 func (s Settings) ShutdownTimeout() time.Duration { return milliseconds(s.Limits.ShutdownMs) }
 
@@ -315,6 +336,9 @@
 	checkRange(report, "limits.quota-overage-percent", s.Limits.QuotaOveragePercent, 0, 100)
 	checkRange(report, "limits.cold-overage-percent", s.Limits.ColdOveragePercent, 0, 1000)
 	checkRange(report, "limits.retry-percent", s.Limits.RetryPercent, 0, 100)
+	checkRange(report, "limits.canary-percent", s.Limits.CanaryPercent, 0, 100)
+	checkRange(report, "limits.canary-slack", s.Limits.CanarySlack, 0, maxCallsInFlight)
+	checkRange(report, "limits.rollback-ms", s.Limits.RollbackMs, 1, maxTimeoutMs)
 	checkRange(report, "limits.announcement-ms", s.Limits.AnnouncementMs, 1, maxTimeoutMs)
 	checkRange(report, "limits.pipelined-requests", s.Limits.PipelinedRequests, 0, maxPipelinedRequests)
 	checkRange(report, "limits.memory-bytes", s.Limits.MemoryBytes, 0, math.MaxInt)
