Give up responses that wait for their turn at once

The budget of client limits ends a response by a write deadline in the past. A response that waited behind another one kept its memory until its turn.

A write deadline that is in the past when it is set now ends a waiting Write. The connection closes in that request's turn, since its response is not whole.

Ruled out: a timer for all write deadlines. The time for writing counts from the turn, since the responses before may take longer.

--- a/internal/pipeline/pipeline_test.go
+++ b/internal/pipeline/pipeline_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
 	"sync"
@@ -526,6 +527,36 @@
 	c.expect("/gate1", "/second"+strings.Repeat("x", 50000))
 }
 
+// TestGivenUpResponse checks that a response whose write deadline is set to a past time does not
+// wait for its turn, so that its memory can be freed. The connection closes in its turn.
+func TestGivenUpResponse(t *testing.T) {
+	gaveUp := make(chan error, 1)
+	s := newTestServer(t, defaults(), func(server *http.Server) {
+		handler := server.Handler
+		server.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if r.URL.Path != "/second" {
+				handler.ServeHTTP(w, r)
+				return
+			}
+			control := http.NewResponseController(w)
+			time.AfterFunc(50*time.Millisecond, func() { _ = control.SetWriteDeadline(time.Now()) })
+			_, err := w.Write(make([]byte, 100_000))
+			gaveUp <- err
+		})
+	})
+	c := s.dial(t)
+	c.send(get("/gate1"), get("/second"), get("/third"))
+	select {
+	case err := <-gaveUp:
+		qt.Check(t, err, qt.ErrorIs, os.ErrDeadlineExceeded)
+	case <-time.After(waitLimit):
+		t.Fatal("the response still waits")
+	}
+	s.open("/gate1")
+	c.expect("/gate1")
+	c.expectEnd()
+}
+
 // TestSlowReader checks that a client that does not read ends only its own connection, and
 // that its requests free their memory.
 func TestSlowReader(t *testing.T) {
--- a/internal/pipeline/turn.go
+++ b/internal/pipeline/turn.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"os"
 	"time"
 )
 
@@ -18,18 +19,25 @@
 	// deadline if it was set before the turn came, counted from the first write.
 	begun        bool
 	writeTimeout time.Duration
+	// expired is set while the last write deadline was in the past when it was set before
+	// the turn: a writer that gives up does not wait for its turn.
+	expired bool
 }
 
 // Write implements net.Conn. It waits for the turn.
 func (t *turn) Write(p []byte) (int, error) {
 	c := t.conn
 	c.mu.Lock()
-	for !t.failed() && !c.isTurn(t) {
+	for !t.failed() && !t.expired && !c.isTurn(t) {
 		c.cond.Wait()
 	}
-	if t.failed() {
+	switch {
+	case t.failed():
 		c.mu.Unlock()
 		return 0, net.ErrClosed
+	case t.expired:
+		c.mu.Unlock()
+		return 0, os.ErrDeadlineExceeded
 	}
 	t.begin()
 	c.mu.Unlock()
@@ -61,12 +69,14 @@
 	case t.failed():
 		return nil
 	case c.isTurn(t):
-		t.writeTimeout = 0
+		t.writeTimeout, t.expired = 0, false
 		return c.Conn.SetWriteDeadline(deadline)
 	case deadline.IsZero():
-		t.writeTimeout = 0
+		t.writeTimeout, t.expired = 0, false
 	default:
 		t.writeTimeout = time.Until(deadline)
+		t.expired = t.writeTimeout <= 0
+		c.cond.Broadcast()
 	}
 	return nil
 }
