--- a/internal/node/listen.go
+++ b/internal/node/listen.go
@@ -149,7 +149,25 @@
 // serve starts an HTTP server with limits on the size and the read time of request
 // headers, and on its connections: parts of the node's descriptors.
 func (n *Node) serve(listener net.Listener, handler http.Handler, parts int) *http.Server {
-	server := &http.Server{
+	server := newServer(handler)
+	n.start(server, n.limit(listener, parts))
+	return server
+}
+
+// limit returns a listener that bounds what its clients make the node hold.
+func (n *Node) limit(listener net.Listener, parts int) net.Listener {
+	return clientlimit.Listen(listener, n.clients.Gate(connectionLimit(parts)))
+}
+
+// start runs an HTTP server until the shutdown.
+func (n *Node) start(server *http.Server, listener net.Listener) {
+	n.servers = append(n.servers, server)
+	n.wg.Go(func() { _ = server.Serve(listener) })
+}
+
+// newServer returns an HTTP server whose listener limit returns.
+func newServer(handler http.Handler) *http.Server {
+	return &http.Server{
 		Handler:           clientlimit.Handler(handler),
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       idleTimeout,
@@ -159,8 +177,4 @@
 		// A caller must not get a success that no backend server gave.
 		DisableGeneralOptionsHandler: true,
 	}
-	n.servers = append(n.servers, server)
-	limited := clientlimit.Listen(listener, n.clients.Gate(connectionLimit(parts)))
-	n.wg.Go(func() { _ = server.Serve(limited) })
-	return server
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -20,6 +20,7 @@
 	"curranthold.example/curranthold/internal/membership"
 	"curranthold.example/curranthold/internal/owner"
 	"curranthold.example/curranthold/internal/peer"
+	"curranthold.example/curranthold/internal/pipeline"
 	"curranthold.example/curranthold/internal/platform"
 	"curranthold.example/curranthold/internal/quota"
 	"curranthold.example/curranthold/internal/rollout"
@@ -88,7 +89,9 @@
 	// clients bounds what clients make the node hold.
 	clients *clientlimit.Budget
 	servers []*http.Server
-	wg      conc.WaitGroup
+	// pipelined is the listener for callers' pipelined requests, nil if none are read ahead.
+	pipelined *pipeline.Listener
+	wg        conc.WaitGroup
 }
 
 // generationSource implements peer.GenerationTracker with a replica of the
@@ -278,12 +281,12 @@
 	if n.adapter.external() {
 		// Callers on this host know no other node, so the node serves them at once
 		// and refuses their calls until it has a configuration.
-		callers = n.serve(n.listeners.caller, n.refuseUntilConfigured(calls), callerConnections)
+		callers = n.serveCallers(n.refuseUntilConfigured(calls))
 	}
 	select {
 	case <-n.configuration.Ready():
 		if callers == nil {
-			callers = n.serve(n.listeners.caller, calls, callerConnections)
+			callers = n.serveCallers(calls)
 		}
 		n.accepting.Store(true)
 		eventReady.Log(event.Fields{
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -141,6 +141,9 @@
 	// of their call trees, as far as these declare no cold rate. A node without an
 	// adapter ignores it.
 	TreeAdmission bool `json:"tree-admission"`
+	// PipelinedRequests is the number of requests that are read ahead on one connection
+	// of a caller and run at once; 0 reads the next request when the last is answered.
+	PipelinedRequests int `json:"pipelined-requests"`
 	// DisabledMechanisms names mechanisms to switch off, to measure the effect of
 	// each. It is meant for tests only.
 	DisabledMechanisms []string `json:"disabled-mechanisms"`
@@ -283,7 +286,9 @@
 	maxTimeoutMs    = 600_000
 
 	maxCallsInFlight = 1_000_000
-	maxBytesInFlight = 4 << 30
+	// maxPipelinedRequests keeps the search for the next response of a connection short.
+	maxPipelinedRequests = 1000
+	maxBytesInFlight     = 4 << 30
 )
 
 // check reports the values that are not valid. All fields must have been decoded
@@ -335,6 +340,7 @@
 	checkRange(report, "limits.canary-slack", s.Limits.CanarySlack, 0, maxCallsInFlight)
 	checkRange(report, "limits.rollback-ms", s.Limits.RollbackMs, 1, maxTimeoutMs)
 	checkRange(report, "limits.announcement-ms", s.Limits.AnnouncementMs, 1, maxTimeoutMs)
+	checkRange(report, "limits.pipelined-requests", s.Limits.PipelinedRequests, 0, maxPipelinedRequests)
 	checkRange(report, "limits.memory-bytes", s.Limits.MemoryBytes, 0, math.MaxInt)
 }
 
