--- a/internal/node/listen.go
+++ b/internal/node/listen.go
@@ -154,7 +154,7 @@
 	return server
 }
 
-// limit returns a listener with a limit on its connections.
+// limit returns a listener that bounds what its clients make the node hold.
 func (n *Node) limit(listener net.Listener, parts int) net.Listener {
 	return clientlimit.Listen(listener, n.clients.Gate(connectionLimit(parts)))
 }
@@ -165,7 +165,7 @@
 	n.wg.Go(func() { _ = server.Serve(listener) })
 }
 
-// newServer returns an HTTP server for connections with a limit.
+// newServer returns an HTTP server whose listener limit returns.
 func newServer(handler http.Handler) *http.Server {
 	return &http.Server{
 		Handler:           clientlimit.Handler(handler),
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -137,13 +137,13 @@
 	// isn't cold start at its slots, if its service declares no cold rate. A node
 	// without an adapter ignores it.
 	WarmStart bool `json:"warm-start"`
-	// PipelinedRequests is the number of requests that are read ahead on one connection
-	// of a caller and run at once; 0 reads the next request when the last is answered.
-	PipelinedRequests int `json:"pipelined-requests"`
 	// TreeAdmission makes entries admit root requests by the capacity of all services
 	// of their call trees, as far as these declare no cold rate. A node without an
 	// adapter ignores it.
 	TreeAdmission bool `json:"tree-admission"`
+	// PipelinedRequests is the number of requests that are read ahead on one connection
+	// of a caller and run at once; 0 reads the next request when the last is answered.
+	PipelinedRequests int `json:"pipelined-requests"`
 	// DisabledMechanisms names mechanisms to switch off, to measure the effect of
 	// each. It is meant for tests only.
 	DisabledMechanisms []string `json:"disabled-mechanisms"`
