Keep half of the slots of servers that a cold start only slows down

Each refusal lowered the limit, and cold servers began at a twentieth of their slots, so that the five together ran about ten requests of 215 slots. Nearly all calls of two routes were refused from 13 to 21 s, at the root since admission by the call tree.

Change: where the service is declared without a cold rate and warm-start is set, the least limit is half of the slots. TestWarmHeartbeat now expects half of the slots for such a cold server; it also checks that other deployments keep the small limit.

TestRefusalsAtAnyLoad: limit 2 of 40 before; with the change it stays at 20 or above.

--- a/internal/admission/config.go
+++ b/internal/admission/config.go
@@ -74,6 +74,10 @@
 	// Warm reports whether the backend server is known to be warm, so that the
 	// limit starts at the slots. It has no effect if Cold or ColdRate is set.
 	Warm bool
+	// SlowStart reports that a cold start only slows the backend server down: its
+	// service is declared without a cold rate, so that it can run half of its slots
+	// at any time. The limit then starts at that and does not fall below it.
+	SlowStart bool
 	// Levelled makes the Controller report an admission level in its Load.
 	Levelled bool
 	// Incarnation changes each time the backend server starts.
--- a/internal/admission/controller.go
+++ b/internal/admission/controller.go
@@ -87,6 +87,7 @@
 	c.announced = true
 	c.incarnation = a.Incarnation
 	c.limiter.coldRateAnnounced = a.ColdRate > 0
+	c.limiter.slowStart = a.SlowStart
 	c.coldPacer.set(a.ColdRate, a.ColdRemaining, now)
 	ramped := c.limiter.announce(a.slots(), a.Cold, a.warm(), restart, now)
 	if c.limiter.slots == 0 {
--- a/internal/admission/limiter.go
+++ b/internal/admission/limiter.go
@@ -9,6 +9,10 @@
 	// rampStartDivisor divides the slots to get the limit that a ramp starts
 	// with, which is also the minimum limit.
 	rampStartDivisor = 20
+	// slowStartDivisor replaces rampStartDivisor for a backend server that a cold
+	// start only slows down. Servers may also refuse requests for other reasons than
+	// their number, and a lower limit would not help against that.
+	slowStartDivisor = 2
 	// slowGrowthDivisor divides the slots to get the maximum increase of the
 	// limit while the backend server announces that it is cold, or while too
 	// few requests run to show that it can handle the present limit.
@@ -128,6 +132,8 @@
 	// it stays cold and which rate of requests it can handle until then.
 	// Neither has to be detected by the limiter in that case.
 	coldRateAnnounced bool
+	// slowStart reports whether a cold start only slows the backend server down.
+	slowStart bool
 	// ramping reports whether the limit is being raised towards slots.
 	ramping bool
 	// unconfirmed reports whether the current ramp began with an announcement
@@ -180,7 +186,11 @@
 
 // minLimit returns the minimum limit, at which a ramp starts.
 func (l *limiter) minLimit() float64 {
-	return float64(min(max(l.slots/rampStartDivisor, 1), l.slots))
+	divisor := rampStartDivisor
+	if l.slowStart {
+		divisor = slowStartDivisor
+	}
+	return float64(min(max(l.slots/divisor, 1), l.slots))
 }
 
 // announce sets the announced slots and whether the backend server announces
--- a/internal/admission/warm_test.go
+++ b/internal/admission/warm_test.go
@@ -20,6 +20,7 @@
 		change(&a)
 		return a
 	}
+	slowStart := with(func(a *admission.Announcement) { a.Cold, a.SlowStart = true, true })
 	unknown := with(func(a *admission.Announcement) { a.Warm = false })
 	cold := with(func(a *admission.Announcement) { a.Cold = true })
 	tests := map[string]struct {
@@ -30,6 +31,8 @@
 		"first, not known to be warm":  {[]admission.Announcement{unknown}, 5},
 		"known to be warm later":       {[]admission.Announcement{unknown, warm}, 100},
 		"cold":                         {[]admission.Announcement{cold}, 5},
+		"cold, only slower":            {[]admission.Announcement{slowStart}, 50},
+		"turned cold, only slower":     {[]admission.Announcement{warm, slowStart}, 50},
 		"warm after cold":              {[]admission.Announcement{cold, warm}, 5},
 		"turned cold":                  {[]admission.Announcement{warm, cold}, 5},
 		"another incarnation":          {[]admission.Announcement{warm, with(func(a *admission.Announcement) { a.Incarnation = "two" })}, 100},
@@ -94,3 +97,21 @@
 		})
 	}
 }
+
+// TestRefusalsAtAnyLoad guards against a limit that falls with each refusal of a backend
+// server that refuses half of its requests whatever their number is. At the least limit, it
+// served a tenth of what it accepts.
+func TestRefusalsAtAnyLoad(t *testing.T) {
+	c := admission.New(admission.Config{})
+	c.Announce(admission.Announcement{Slots: 40, Incarnation: "one", Warm: true, SlowStart: true})
+	for range 100 {
+		refused, err := c.Acquire(t.Context(), admission.Request{})
+		qt.Assert(t, err, qt.IsNil)
+		served, err := c.Acquire(t.Context(), admission.Request{})
+		qt.Assert(t, err, qt.IsNil)
+		refused.Done(admission.Refused)
+		served.Done(admission.Succeeded)
+	}
+	limit := c.Load().Limit
+	qt.Check(t, limit >= 20, qt.IsTrue, qt.Commentf("limit %d", limit))
+}
--- a/internal/owner/heartbeat.go
+++ b/internal/owner/heartbeat.go
@@ -153,6 +153,7 @@
 		Slots:         a.Slots,
 		Connections:   a.Connections,
 		Cold:          a.Cold,
+		SlowStart:     o.config.WarmStart && declared && spec.ColdRate == 0,
 		Warm:          o.config.WarmStart && declared && !a.Cold && coldFor <= 0,
 		Levelled:      o.config.TreeAdmission && declared && spec.ColdRate == 0,
 		Incarnation:   incarnationID(a.Incarnation, startMs),
--- a/internal/owner/heartbeat_test.go
+++ b/internal/owner/heartbeat_test.go
@@ -127,7 +127,7 @@
 	cold.Announcement.Cold = true
 	coldFor := warm
 	coldFor.ColdFor = time.Second
-	const slots, minLimit = 10, 1
+	const slots, slowLimit, minLimit = 10, 5, 1
 	tests := map[string]struct {
 		off, undeclared bool
 		spec            object.ServiceSpec
@@ -137,8 +137,10 @@
 		"warm":              {heartbeat: warm, limit: slots},
 		"setting off":       {off: true, heartbeat: warm, limit: minLimit},
 		"not declared":      {undeclared: true, heartbeat: warm, limit: minLimit},
-		"cold":              {heartbeat: cold, limit: minLimit},
-		"cold time left":    {heartbeat: coldFor, limit: minLimit},
+		"cold":              {heartbeat: cold, limit: slowLimit},
+		"cold time left":    {heartbeat: coldFor, limit: slowLimit},
+		"off, cold":         {off: true, heartbeat: cold, limit: minLimit},
+		"undeclared, cold":  {undeclared: true, heartbeat: cold, limit: minLimit},
 		"cold rate":         {spec: object.ServiceSpec{ColdRate: 40}, heartbeat: warm, limit: slots},
 		"cold rate, cold":   {spec: object.ServiceSpec{ColdRate: 40}, heartbeat: cold, limit: slots},
 		"off and cold rate": {off: true, spec: object.ServiceSpec{ColdRate: 40}, heartbeat: warm, limit: slots},
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -49,7 +49,8 @@
 	// may be nil.
 	Service func(name string) (spec object.ServiceSpec, declared bool)
 	// WarmStart makes the concurrency limit start at the slots if the backend server
-	// says that it isn't cold and its service is declared without a cold rate.
+	// says that it isn't cold and its service is declared without a cold rate, and not
+	// fall below half of them.
 	WarmStart bool
 	// TreeAdmission makes the owner report admission levels: its own, if its service is
 	// declared without a cold rate, and those of the services that nested calls use.
