Wrap long comments, and state the canary's share in one place

The fraction of calls that goes to a new version stood in two packages, so that a change of one would have changed how many candidates are used but not how many calls they get. Comments of new tests had lines of up to 200 characters. No behaviour changes.

--- a/cmd/curranthold/rollout_test.go
+++ b/cmd/curranthold/rollout_test.go
@@ -36,7 +36,8 @@
 	f.statuses = map[string]client.Rollout{status.Service: status}
 }
 
-// TestRolloutCommand guards against orders that are accepted although they are wrong or come while another one runs, and against states that are shown wrong.
+// TestRolloutCommand guards against orders that are accepted although they are wrong or come
+// while another one runs, and against states that are shown wrong.
 func TestRolloutCommand(t *testing.T) {
 	ct := newCommandTest(t)
 	status, _, stderr := ct.run("apply", "-f", ct.file(declarationsText))
--- a/internal/balance/candidate.go
+++ b/internal/balance/candidate.go
@@ -124,9 +124,9 @@
 	return c.all // The hosts of the superseded version are gone.
 }
 
-// chooseCandidate returns a candidate for the request if it asks for one, and a host of
-// the version to which the service's traffic moves while it does. Decided is false if the request has to go to
-// another host.
+// chooseCandidate returns a candidate for the request if it asks for one, and a host of the
+// version to which the service's traffic moves while it does. Decided is false if the request
+// has to go to another host.
 func (b *Balancer) chooseCandidate(c *candidates, r *Request, now int64) (host Host, decided bool, err error) {
 	if successors := c.successors(now); successors != nil {
 		host, err := b.chooseFrom(successors, r, now)
--- a/internal/balance/candidate_test.go
+++ b/internal/balance/candidate_test.go
@@ -20,7 +20,8 @@
 
 var superseded = admission.Load{Limit: 100, Slots: 100, ShedFrom: object.UrgencyCount, Superseded: true}
 
-// TestChooseCandidate guards against calls that reach a version that is not in force without being meant for it, and against calls that are refused because of it.
+// TestChooseCandidate guards against calls that reach a version that is not in force without
+// being meant for it, and against calls that are refused because of it.
 func TestChooseCandidate(t *testing.T) {
 	asks := balance.Request{Candidate: true}
 	tests := map[string]struct {
@@ -110,7 +111,8 @@
 	}
 }
 
-// TestCandidatesTakeTurns guards against a candidate that gets too little load to show how it responds under load.
+// TestCandidatesTakeTurns guards against a candidate that gets too little load to show how it
+// responds under load.
 func TestCandidatesTakeTurns(t *testing.T) {
 	f := &fixture{now: time.Unix(1_000_000, 0)}
 	f.Balancer = balance.New(balance.Config{Zone: "a", Now: func() time.Time { return f.now }, CandidateFraction: 0.04})
@@ -131,7 +133,8 @@
 	qt.Check(t, used, qt.HasLen, 40)
 }
 
-// TestSupersededSurvivesNewHosts guards against calls that go back to the old version, or find no host, when the membership changes.
+// TestSupersededSurvivesNewHosts guards against calls that go back to the old version, or
+// find no host, when the membership changes.
 func TestSupersededSurvivesNewHosts(t *testing.T) {
 	old, c2, c3 := host("a1", "a"), candidate("a2", "a"), candidate("a3", "a")
 	tests := map[string][]balance.Host{
--- a/internal/entry/rollout_test.go
+++ b/internal/entry/rollout_test.go
@@ -23,7 +23,9 @@
 	return true
 }
 
-// TestRetriesAvoidCandidates guards against a retry that goes to the version on which the call failed, and against calls to a candidate that its owner refuses because they are not marked.
+// TestRetriesAvoidCandidates guards against a retry that goes to the version on which the
+// call failed, and against calls to a candidate that its owner refuses because they are not
+// marked.
 func TestRetriesAvoidCandidates(t *testing.T) {
 	b := balance.New(balance.Config{Zone: "a"})
 	b.SetHosts(map[string][]balance.Host{"peals": {
--- a/internal/entry/slow_caller_test.go
+++ b/internal/entry/slow_caller_test.go
@@ -32,7 +32,8 @@
 	return len(p), nil
 }
 
-// TestSlowCallerGetsWholeBody guards against a large answer that is cut off because its caller takes longer than the timeout for all of it, though it goes on reading.
+// TestSlowCallerGetsWholeBody guards against a large answer that is cut off because its
+// caller takes longer than the timeout for all of it, though it goes on reading.
 func TestSlowCallerGetsWholeBody(t *testing.T) {
 	tests := map[string]struct {
 		bytes, bytesPerS, want int
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -177,7 +177,7 @@
 	})
 	n.balancer = balance.New(balance.Config{
 		Zone: s.AvailabilityZone, DisableEarlyRefusal: s.Limits.Disabled(settings.EarlyRefusal),
-		CandidateFraction: canaryFraction * n.canaryShare(),
+		CandidateFraction: rollout.CanaryPart * n.canaryShare(),
 	})
 	n.buildRollout()
 }
--- a/internal/node/rollout.go
+++ b/internal/node/rollout.go
@@ -25,9 +25,6 @@
 	// of its last rollout.
 	rolloutRecordPrefix = "rollout/"
 	rolloutStatePrefix  = "rollout-state/"
-	// canaryFraction is the fraction of the bound on a bad version's share of the requests
-	// that entries send to it. internal/rollout sends as many.
-	canaryFraction = 0.4
 	// candidateInterval is the time between two checks whether the version of the backend
 	// server on this host is in force.
 	candidateInterval = 200 * time.Millisecond
--- a/internal/node/rollout_fleet_test.go
+++ b/internal/node/rollout_fleet_test.go
@@ -232,7 +232,8 @@
 	return qt.Commentf("%d of %d failed: %s; state %+v", f.failed.Load(), f.sent.Load(), text.String(), f.state())
 }
 
-// TestGoodRollout guards against requests that reach a new version without an order, and against requests that are lost when it replaces the old one.
+// TestGoodRollout guards against requests that reach a new version without an order, and
+// against requests that are lost when it replaces the old one.
 func TestGoodRollout(t *testing.T) {
 	f := newRolloutFleet(t)
 	stop := f.load()
@@ -256,7 +257,8 @@
 	qt.Check(t, f.failed.Load(), qt.Equals, int64(0), f.reports())
 }
 
-// TestBadRollout guards against a bad version that gets more than its share or stays, and against callers who get its failures although the old version could have served them.
+// TestBadRollout guards against a bad version that gets more than its share or stays, and
+// against callers who get its failures although the old version could have served them.
 func TestBadRollout(t *testing.T) {
 	f := newRolloutFleet(t)
 	for _, h := range f.new {
--- a/internal/node/rollout_test.go
+++ b/internal/node/rollout_test.go
@@ -26,7 +26,8 @@
 	return platform.ErrOutcomeUnknown
 }
 
-// TestRolloutRecords guards against two hosts that both end a rollout, and against a record that is lost or read wrong.
+// TestRolloutRecords guards against two hosts that both end a rollout, and against a record
+// that is lost or read wrong.
 func TestRolloutRecords(t *testing.T) {
 	ctx := t.Context()
 	records := &rolloutRecords{table: standin.NewTable()}
@@ -58,7 +59,8 @@
 	qt.Check(t, status.Target, qt.Equals, "v2")
 }
 
-// TestRolloutRecordsUnavailable guards against a failure of the store that is taken for a missing record or for a conflict.
+// TestRolloutRecordsUnavailable guards against a failure of the store that is taken for a
+// missing record or for a conflict.
 func TestRolloutRecordsUnavailable(t *testing.T) {
 	records := &rolloutRecords{table: failingTable{}}
 	_, _, ok, err := records.Load(t.Context(), "peals")
@@ -69,7 +71,8 @@
 	qt.Check(t, errors.Is(err, rollout.ErrConflict), qt.IsFalse)
 }
 
-// TestVersionGate guards against a backend server that runs calls of its service before the node can know whether its version is in force.
+// TestVersionGate guards against a backend server that runs calls of its service before the
+// node can know whether its version is in force.
 func TestVersionGate(t *testing.T) {
 	var disabled *versionGate
 	qt.Check(t, disabled.IsCandidate(), qt.IsFalse)
--- a/internal/owner/announce.go
+++ b/internal/owner/announce.go
@@ -74,9 +74,9 @@
 	return incarnation + "/" + strconv.FormatInt(startMs, 10)
 }
 
-// setBackend sets the current backend server and reports whether it changed. It keeps
-// the open connections, and what is known of the instance, if the instance, address, slots and connection limit are
-// unchanged.
+// setBackend sets the current backend server and reports whether it changed. It keeps the
+// open connections, and what is known of the instance, if the instance, address, slots and
+// connection limit are unchanged.
 func (o *Owner) setBackend(a Announcement, startMs int64) bool {
 	o.mu.Lock()
 	defer o.mu.Unlock()
--- a/internal/owner/heartbeat_test.go
+++ b/internal/owner/heartbeat_test.go
@@ -82,7 +82,8 @@
 	qt.Assert(t, o.AnnounceProvisionally(heartbeat("a", 0, 0, false)), qt.IsFalse)
 }
 
-// TestProvisionalBackendDeparts guards against calls to a backend server that left before its first heartbeat to this node.
+// TestProvisionalBackendDeparts guards against calls to a backend server that left before its
+// first heartbeat to this node.
 func TestProvisionalBackendDeparts(t *testing.T) {
 	for name, startMs := range map[string]int64{"start time known": 5, "start time unknown": 0} {
 		t.Run(name, func(t *testing.T) {
--- a/internal/owner/rollout_test.go
+++ b/internal/owner/rollout_test.go
@@ -33,7 +33,8 @@
 	r.responses = append(r.responses, recorded{route, failed, took})
 }
 
-// TestRolloutRefusal guards against calls that run on a version that the rollout does not allow, also if an entry knows nothing of it.
+// TestRolloutRefusal guards against calls that run on a version that the rollout does not
+// allow, also if an entry knows nothing of it.
 func TestRolloutRefusal(t *testing.T) {
 	tests := map[string]struct {
 		rollout fakeRollout
@@ -71,7 +72,8 @@
 	}
 }
 
-// TestRolloutEvidence guards against evidence that blames a version for what its nested calls did, or that leaves out what it did itself.
+// TestRolloutEvidence guards against evidence that blames a version for what its nested calls
+// did, or that leaves out what it did itself.
 func TestRolloutEvidence(t *testing.T) {
 	const nestedTime = 100 * time.Millisecond
 	tests := map[string]struct {
--- a/internal/rollout/outcome_test.go
+++ b/internal/rollout/outcome_test.go
@@ -227,12 +227,12 @@
 							own++
 						}
 					}
-					fraction := canaryPart * testShare * float64(calls)
+					fraction := CanaryPart * testShare * float64(calls)
 					qt.Assert(t, float64(own) <= fraction+1 && float64(own) >= fraction-1.01, qt.IsTrue, qt.Commentf("%d", own))
 					chosen += own
 				}
 				// The roundings of n entries deviate by at most sqrt(n)/2; four times that.
-				off := math.Abs(float64(chosen) - canaryPart*testShare*float64(entries*calls))
+				off := math.Abs(float64(chosen) - CanaryPart*testShare*float64(entries*calls))
 				qt.Assert(t, off <= 2*math.Sqrt(float64(entries))+1, qt.IsTrue, qt.Commentf("%d", chosen))
 				qt.Assert(t, chosen <= int(testShare*float64(entries*calls))+testSlack, qt.IsTrue, qt.Commentf("%d", chosen))
 			})
--- a/internal/rollout/share.go
+++ b/internal/rollout/share.go
@@ -8,9 +8,9 @@
 )
 
 const (
-	// canaryPart is the part of the allowed share that candidates get while they are
+	// CanaryPart is the part of the allowed share that candidates get while they are
 	// tried. The rest is kept for the promotion and for rounding.
-	canaryPart = 0.4
+	CanaryPart = 0.4
 	// usedPart is the part of the allowed share that is used at all, promotion
 	// included.
 	usedPart = 0.8
@@ -36,7 +36,7 @@
 }
 
 // fraction returns the part of the traffic that candidates get while they are tried.
-func (m *Manager) fraction() float64 { return canaryPart * m.config.MaxShare }
+func (m *Manager) fraction() float64 { return CanaryPart * m.config.MaxShare }
 
 // promotionTime returns how long before the deadline a promotion begins: so late that
 // the allowed share is kept if the candidates get all traffic until the deadline.
--- a/internal/rollout/stream_test.go
+++ b/internal/rollout/stream_test.go
@@ -68,7 +68,7 @@
 	for i := range s.rate {
 		s.now = start.Add(time.Duration(i) * gap)
 		host := s.rng.IntN(s.old)
-		isNew := s.rng.Float64() < canaryPart*testShare
+		isNew := s.rng.Float64() < CanaryPart*testShare
 		if isNew {
 			host = s.old + slice%s.candidates
 		}
@@ -108,7 +108,7 @@
 func (s *stream) run() (finding Finding, failures uint64) {
 	for i := range sliceCount {
 		s.next()
-		c := Comparison{Candidates: s.candidates, Fraction: canaryPart * testShare}
+		c := Comparison{Candidates: s.candidates, Fraction: CanaryPart * testShare}
 		for j, r := range s.recorders {
 			if j < s.old {
 				c.Old = append(c.Old, r.evidence)
@@ -188,7 +188,7 @@
 		}
 		if s.slowFactor == 0 && (s.bad >= 0.6 || s.bad >= 0.3 && s.faults <= 0.004) {
 			require(t, finding.Reason == ReasonFailures || failures < maxUnseen && !finding.Bad, finding)
-			require(t, failures < 50+uint64(float64(s.rate)*canaryPart*testShare*2), failures)
+			require(t, failures < 50+uint64(float64(s.rate)*CanaryPart*testShare*2), failures)
 		}
 		if s.slowFactor >= 12 && s.bad >= 0.6 && s.badFrom < 4 && s.rate >= 400 {
 			require(t, finding.Bad, finding)
