Keep a buffer for each large response again

The race detector drops pooled buffers at random, and without it the collector empties the pool, so that buffers of 1 MB are allocated anew while the earlier ones are garbage.

--- a/internal/owner/answer.go
+++ b/internal/owner/answer.go
@@ -7,7 +7,6 @@
 	"io"
 	"net/http"
 	"strconv"
-	"sync"
 	"syscall"
 	"time"
 
@@ -144,19 +143,12 @@
 	})
 }
 
-// largeBuffers holds the buffers for large bodies that are not in use. The collector frees
-// them, so that their number follows the load: one buffer for each of Config.LargeAnswers
-// would hold several times the memory of all else in a node once all have been used.
-var largeBuffers = sync.Pool{New: func() any { return new(bytes.Buffer) }}
-
 // awaitLarge calls read while fewer than Config.LargeAnswers other large bodies are
 // being read. Read gets an empty buffer, which it must not keep.
 func (o *Owner) awaitLarge(ctx context.Context, read func(*bytes.Buffer) ([]byte, error)) ([]byte, error) {
 	select {
-	case o.largeAnswers <- struct{}{}:
-		defer func() { <-o.largeAnswers }()
-		buffer := largeBuffers.Get().(*bytes.Buffer)
-		defer largeBuffers.Put(buffer)
+	case buffer := <-o.largeAnswers:
+		defer func() { o.largeAnswers <- buffer }()
 		buffer.Reset()
 		return read(buffer)
 	case <-ctx.Done():
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -3,6 +3,7 @@
 package owner
 
 import (
+	"bytes"
 	"cmp"
 	"context"
 	"errors"
@@ -96,8 +97,8 @@
 	waitingCalls waitingCalls
 	// beneath holds the admission levels of the services that nested calls use.
 	beneath treeadmit.Beneath
-	// largeAnswers holds an element for each large body that is being read.
-	largeAnswers chan struct{}
+	// largeAnswers holds a buffer for each large body that may be read now.
+	largeAnswers chan *bytes.Buffer
 
 	// announceMu serializes HandleHeartbeat, MarkDeparted and AnnounceProvisionally.
 	announceMu sync.Mutex
@@ -124,7 +125,10 @@
 		config.Codec = defaultCodec{}
 	}
 	o := &Owner{config: config, running: make(map[string]*activeCall)}
-	o.largeAnswers = make(chan struct{}, cmp.Or(config.LargeAnswers, defaultLargeAnswers))
+	o.largeAnswers = make(chan *bytes.Buffer, cmp.Or(config.LargeAnswers, defaultLargeAnswers))
+	for range cap(o.largeAnswers) {
+		o.largeAnswers <- new(bytes.Buffer)
+	}
 	handler, err := stages.Build(o, stageOrder...)
 	if err != nil {
 		return nil, err
