--- a/internal/admission/load.go
+++ b/internal/admission/load.go
@@ -45,7 +45,7 @@
 }
 
 // lostPercent is the percentage of failed requests from which a host counts as lost.
-const lostPercent = 90
+const lostPercent = 75
 
 // Lost reports whether the backend server refuses or fails most requests, whatever their
 // number is. That is no sign of overload of its service, so that Closed does not count.
