Look at other zones only where a spread call may go there

Each spread call gathered and weighed the hosts of all zones, also where the own zone's utilization is at most spillFrom and none of them can be chosen first; they are now gathered when that is possible or the own zone has no eligible host. The moving average of slot times stood twice, in the load hint and in the demand estimate, and is one function now. Choices and checks are unchanged.

The tests of balance, admission and treeadmit pass.

--- a/internal/admission/controller.go
+++ b/internal/admission/controller.go
@@ -319,7 +319,7 @@
 	silent := c.limiter.observe(ended, now)
 	if outcome == Succeeded {
 		c.serviceTimes[p.urgency].observe(now.Sub(p.start), now)
-		c.observeSlotTime(ended.took)
+		c.meanSlotTime = smoothSlotTime(c.meanSlotTime, ended.took)
 	}
 	c.dispatch(now)
 	c.updateGauges()
@@ -327,12 +327,13 @@
 	return silent
 }
 
-func (c *Controller) observeSlotTime(took time.Duration) {
-	if c.meanSlotTime == 0 {
-		c.meanSlotTime = max(took, 1)
-		return
+// smoothSlotTime returns the moving average of slot times after another one. An average of
+// 0 means that there was none before.
+func smoothSlotTime(average, took time.Duration) time.Duration {
+	if average == 0 {
+		return max(took, 1)
 	}
-	c.meanSlotTime = max(c.meanSlotTime+(took-c.meanSlotTime)/slotTimeSmoothing, 1)
+	return max(average+(took-average)/slotTimeSmoothing, 1)
 }
 
 func (c *Controller) updateGauges() {
--- a/internal/admission/demand.go
+++ b/internal/admission/demand.go
@@ -64,11 +64,7 @@
 	if !d.enabled || outcome > FailedNested {
 		return
 	}
-	if d.slotTime == 0 {
-		d.slotTime = took
-		return
-	}
-	d.slotTime += (took - d.slotTime) / slotTimeSmoothing
+	d.slotTime = smoothSlotTime(d.slotTime, took)
 }
 
 // level returns the level for a backend server with the given limit on running requests
--- a/internal/balance/spread.go
+++ b/internal/balance/spread.go
@@ -160,22 +160,34 @@
 }
 
 // searchSpread searches a host for a service whose hosts are spread: one of the own zone
-// or, with a probability that grows with the own zone's utilization, of others.
+// or, with a probability that grows with the own zone's utilization, of others. The hosts
+// of other zones are looked at only if one of them may be chosen.
 func (b *Balancer) searchSpread(service *service, s *search) {
-	var own, others spread
-	tryOwn := b.tryOwnZone(service, s.now)
-	if tryOwn {
+	spreadCalls.Add(1)
+	var own spread
+	if b.tryOwnZone(service, s.now) {
 		own.add(service.own, s, b.config.Random)
 		own.estimate(s.now)
 	}
+	if own.utilization <= spillFrom {
+		b.considerSpread(&own, s)
+	}
+	if s.best.member == nil {
+		b.searchSpreadZones(service, s, &own)
+	}
+}
+
+// searchSpreadZones searches a host in the own zone, of which own holds the hosts not
+// considered yet, and in the others.
+func (b *Balancer) searchSpreadZones(service *service, s *search, own *spread) {
+	others := new(spread)
 	for _, g := range service.others {
 		if g.zone.weight(s.now) > 0 {
 			others.add(g, s, b.config.Random)
 		}
 	}
 	others.estimate(s.now)
-	spreadCalls.Add(1)
-	first, second := &own, &others
+	first, second := own, others
 	if own.n == 0 {
 		first, second = second, first
 	} else if others.n > 0 && b.randomBool(spill(own.utilization, others.utilization)) {
