Report the failure of a connection to its reader as well

What callers saw: a backend server answered a long upload at once with a 200 that had no length, sent 300 bytes and reset the connection while the upload was still being written. The caller got these 300 bytes as a complete response.

Cause: the kernel reports a connection's failure once, to the first system call that asks. Where the write of the upload got it, the next read got the end of the stream, and a body with neither length nor chunks is complete then.

Ruled out: that net/http gives up the rest of the body (the read itself returns io.EOF), and that data before the reset is lost.

socket.Conn keeps the first failure, and a read to which the kernel reports the end of the stream returns it. Where the kernel has given the connection up, the read waits for a write in progress, which may have got the failure and not returned yet; it can't block any more. EPIPE is no failure: the kernel reports it where the stream had been ended in order. A response that ends in order is delivered as before, also beside a blocked upload.

--- a/internal/socket/conn.go
+++ b/internal/socket/conn.go
@@ -1,6 +1,7 @@
 package socket
 
 import (
+	"errors"
 	"io"
 	"net"
 	"sync"
@@ -41,6 +42,8 @@
 	accepted bool
 	// writes is the number of writes in progress.
 	writes atomic.Int32
+	// ending tells Read how the connection ended.
+	ending ending
 	// watched is set while the timer of the next check runs.
 	watched atomic.Bool
 
@@ -77,7 +80,11 @@
 	c.writes.Add(1)
 	defer c.writes.Add(-1)
 	c.watch()
-	return c.TCPConn.Write(p)
+	c.ending.writing.Lock()
+	defer c.ending.writing.Unlock()
+	n, err := c.TCPConn.Write(p)
+	c.ending.observe(err)
+	return n, err
 }
 
 // copyBytes is the size of the buffers of ReadFrom, that of io.Copy.
@@ -94,6 +101,22 @@
 	return io.CopyBuffer(struct{ io.Writer }{c}, r, buffer[:])
 }
 
+// Read implements net.Conn. It returns io.EOF only if the other host has ended its stream in
+// order.
+func (c *Conn) Read(p []byte) (int, error) {
+	n, err := c.TCPConn.Read(p)
+	if errors.Is(err, io.EOF) {
+		return n, c.endOfStream()
+	}
+	c.ending.observe(err)
+	return n, err
+}
+
+// WriteTo implements io.WriterTo by means of Read.
+func (c *Conn) WriteTo(w io.Writer) (int64, error) {
+	return io.Copy(w, struct{ io.Reader }{c})
+}
+
 // Close implements net.Conn. On an accepted connection, which carries answers, data that
 // was written before is still sent if the other host goes on to respond, also if nothing
 // reads there for some seconds. On one that was dialed, requests that nobody waits for are
--- a/internal/standin/raw.go
+++ b/internal/standin/raw.go
@@ -107,6 +107,21 @@
 	return r, err
 }
 
+// ReadBytes reads and discards n bytes.
+func (c *RawConn) ReadBytes(n int64) error {
+	_, err := io.CopyN(io.Discard, c.reader, n)
+	return err
+}
+
+// CloseWrite ends the stream to the other side in order. The other direction stays open.
+func (c *RawConn) CloseWrite() error {
+	tcp, ok := c.conn.(*net.TCPConn)
+	if !ok {
+		return errors.ErrUnsupported
+	}
+	return tcp.CloseWrite()
+}
+
 // Write writes the text as it is. It fails once the other side has closed the
 // connection and noticed that more arrives.
 func (c *RawConn) Write(text string) error {
