Refuse responses whose header or trailer has a field that is none of HTTP

What callers saw: a backend server in trouble sent a head in which the name of a field held a blank. The caller got it as a response, with that line, or with a body that was not the backend server's, where the line would have stated the body's length or coding.

Cause: net/textproto accepts blanks in names and leaves such names as they are; net/http then looks only for the usual forms of its own fields, and so did we for ours: a refusal with a blank before the colon passed as a response.

Ruled out: control bytes, bytes above ASCII, missing names and colons. net/http refuses them already, with may-have-run; the tests stay. Removing a blank before the colon, as a proxy may, would guess what the server meant.

The fields are checked where the status is: responses of the backend server with their trailers, answers of other nodes, of the platform's store, health checks and pkg/client. The code is head-invalid: 502, may-have-run, counted and logged once a second like an invalid status. Package httpstatus is now httphead, since it checks both.

--- a/internal/entry/codec.go
+++ b/internal/entry/codec.go
@@ -113,6 +113,7 @@
 	verdict.AnswerTooLarge:     http.StatusBadGateway,
 	verdict.AnswerMismatch:     http.StatusBadGateway,
 	verdict.StatusInvalid:      http.StatusBadGateway,
+	verdict.HeadInvalid:        http.StatusBadGateway,
 	verdict.Internal:           http.StatusInternalServerError,
 }
 
--- a/internal/entry/metric.go
+++ b/internal/entry/metric.go
@@ -18,6 +18,7 @@
 	metricRefusalLatency   = metrics.Histogram("refused-latency-us")
 	metricLinesDropped     = metrics.Int("log-lines-left-out")
 	metricInvalidStatuses  = metrics.Int("invalid-statuses")
+	metricInvalidHeads     = metrics.Int("invalid-heads")
 	metricClaimsUnfinished = metrics.Int("claims-unfinished")
 )
 
--- a/internal/entry/remote.go
+++ b/internal/entry/remote.go
@@ -9,7 +9,7 @@
 	"curranthold.example/curranthold/internal/balance"
 	"curranthold.example/curranthold/internal/call"
 	"curranthold.example/curranthold/internal/event"
-	"curranthold.example/curranthold/internal/httpstatus"
+	"curranthold.example/curranthold/internal/httphead"
 	"curranthold.example/curranthold/internal/peer"
 	"curranthold.example/curranthold/pkg/verdict"
 )
@@ -91,13 +91,10 @@
 	case !answer.Matches(a.request):
 		result.err = verdict.New(verdict.MayHaveRun, verdict.AnswerMismatch,
 			"host %s sent a damaged answer or one to another call", a.host.ID)
-	case answer.Err == nil && !httpstatus.IsFinal(answer.Status):
-		// Nodes of earlier builds pass on what their backend servers send.
-		metricInvalidStatuses.Add(1)
-		result.err = verdict.New(verdict.MayHaveRun, verdict.StatusInvalid,
-			"host %s sent status %d, which is none of a final response", a.host.ID, answer.Status)
 	default:
-		result.answer = answer
+		if result.err = checkHead(a.host.ID, answer); result.err == nil {
+			result.answer = answer
+		}
 	}
 	if err == nil {
 		e.liveness.markHeard(a.host.ID, time.Now())
@@ -105,6 +102,24 @@
 	return result
 }
 
+// checkHead returns an error if the answer of a host contains the head of a response that
+// must not be passed on. Nodes of earlier builds pass on what their backend servers send.
+func checkHead(host string, answer *call.Answer) error {
+	if answer.Err != nil {
+		return nil
+	}
+	if !httphead.IsFinal(answer.Status) {
+		metricInvalidStatuses.Add(1)
+		return verdict.New(verdict.MayHaveRun, verdict.StatusInvalid,
+			"host %s sent status %d, which is none of a final response", host, answer.Status)
+	}
+	if err := httphead.CheckFields(answer.Header); err != nil {
+		metricInvalidHeads.Add(1)
+		return verdict.New(verdict.MayHaveRun, verdict.HeadInvalid, "host %s sent an invalid head: %v", host, err)
+	}
+	return nil
+}
+
 // watchAttempt monitors the host during an attempt, until the attempt's context ends. The
 // returned function must be called before; it keeps a monitoring from starting.
 func (e *Entry) watchAttempt(a *remoteAttempt) (stop func()) {
--- a/internal/entry/status_test.go
+++ b/internal/entry/status_test.go
@@ -39,6 +39,33 @@
 	}
 }
 
+// TestFieldsOfAnswer guards against the answer of another node, perhaps of an earlier build,
+// whose header has a field that is not one of HTTP.
+func TestFieldsOfAnswer(t *testing.T) {
+	tests := map[string]http.Header{
+		"blank inside":           {"X Field": {"1"}},
+		"blank before the colon": {"X-Field ": {"1"}},
+		"control":                {"X-Fi\x00eld": {"1"}},
+		"line end in a name":     {"X-Field: 1\r\nX-Other": {"1"}},
+		"no name":                {"": {"1"}},
+		"line end in a value":    {"X-Field": {"1", "1\r\nX-Other: 1"}},
+		"control in a value":     {"X-Field": {"\x00"}},
+	}
+	for name, fields := range tests {
+		t.Run(name, func(t *testing.T) {
+			p := &fakePeers{answer: func(int64, *call.Request) (*call.Answer, error) {
+				return &call.Answer{Status: http.StatusOK, Header: fields, Body: []byte("x")}, nil
+			}}
+			recorder := httptest.NewRecorder()
+			newEntry(t, p).ServeHTTP(recorder, httptest.NewRequest(http.MethodPost, "/records", nil))
+			qt.Check(t, recorder.Code, qt.Equals, http.StatusBadGateway)
+			qt.Check(t, recorder.Header().Get(header.Verdict), qt.Equals, verdict.MayHaveRun.String())
+			qt.Check(t, recorder.Body.String(), qt.Contains, string(verdict.HeadInvalid))
+			qt.Check(t, p.calls.Load(), qt.Equals, int64(1)) // The route is non-repeatable.
+		})
+	}
+}
+
 // FuzzResponseHead sends mutated responses of a backend server through an owner and an
 // entry. No handler may panic, and the caller gets a final status.
 func FuzzResponseHead(f *testing.F) {
@@ -59,6 +86,7 @@
 		"HTTP/1.1 200 OK\r\nConnection: close, X-A\r\nX-A: 1\r\nTrailer: X-B\r\n\r\n",
 		"HTTP/1.1 200 OK\r\n: x\r\n\r\n",
 		"HTTP/1.1 200 OK\r\nX\x00: \x7f\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nX Y: 1\r\nContent-Length : 2\r\n\r\nok",
 		"HTTP/1.1 200 OK\r\nX-A: 1\r\n folded\r\n\r\n",
 		"HTTP/1.1 103 Early\r\n\r\nHTTP/1.1 000 None\r\n\r\n",
 		"HTTP/1.1 503 Busy\r\n" + header.Refused + ": x\r\nContent-Length: 0\r\n\r\n",
--- a/internal/owner/answer.go
+++ b/internal/owner/answer.go
@@ -11,7 +11,6 @@
 	"time"
 
 	"curranthold.example/curranthold/internal/call"
-	"curranthold.example/curranthold/internal/event"
 	"curranthold.example/curranthold/pkg/verdict"
 )
 
@@ -52,38 +51,17 @@
 	return failure
 }
 
-// judge checks that the response is the result of the request; see [Judge].
+// judge checks that the response is the result of the request; see [Judge]. The backend
+// server is known to name requests once a response does.
 func (o *Owner) judge(b *backend, r *call.Request, response *http.Response) error {
 	echo := o.config.Codec.Echo(r, response)
 	err := Judge(o.config.Codec, r, response, echo, b.echoes.Load())
-	if isResponse(err) {
-		if echo == EchoSame {
-			b.echoes.Store(true)
-		}
-		return err
-	}
-	// To net/http a connection is idle after a response without a body, although the
-	// request's own response may follow on it.
-	b.transport.CloseIdleConnections()
-	if verdict.From(err).Code == verdict.StatusInvalid {
-		metricInvalidStatuses.Add(1)
-		if statusLog.Allow() {
-			eventStatusInvalid.Log(event.Fields{"request": r.RequestID, "service": r.Service, "status": response.StatusCode})
-		}
+	if isResponse(err) && echo == EchoSame {
+		b.echoes.Store(true)
 	}
 	return err
 }
 
-// isResponse reports whether err, an error of Judge or nil, is for a response to the
-// request.
-func isResponse(err error) bool {
-	if err == nil {
-		return true
-	}
-	code := verdict.From(err).Code
-	return code != verdict.AnswerMismatch && code != verdict.StatusInvalid
-}
-
 // discard reads the body of a response that refuses the call, so that its connection
 // can be used again, unless the body is too large or too slow. The caller must close
 // the body.
@@ -105,6 +83,9 @@
 	if err != nil {
 		return roundTripError(ctx, err, true)
 	}
+	if err := checkFields(response.Trailer); err != nil {
+		return err
+	}
 	c.answer.Status = response.StatusCode
 	call.RemoveHopByHop(response.Header)
 	if c.request.Method == http.MethodHead && response.ContentLength >= 0 {
--- a/internal/owner/backend.go
+++ b/internal/owner/backend.go
@@ -168,11 +168,15 @@
 	if isResponse(err) {
 		o.observeNotice(b, o.config.Codec.Notice(response))
 	}
-	if err != nil {
+	if err == nil {
+		err = o.readAnswer(ctx, c, response)
+	} else {
 		discard(response, err)
-		return err
 	}
-	return o.readAnswer(ctx, c, response)
+	if !isResponse(err) {
+		b.reject(c.request, response, err)
+	}
+	return err
 }
 
 func (o *Owner) newRequest(ctx context.Context, b *backend, c *activeCall, token string) (*http.Request, error) {
--- a/internal/owner/codec.go
+++ b/internal/owner/codec.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"curranthold.example/curranthold/internal/call"
-	"curranthold.example/curranthold/internal/httpstatus"
+	"curranthold.example/curranthold/internal/httphead"
 	"curranthold.example/curranthold/pkg/header"
 	"curranthold.example/curranthold/pkg/verdict"
 )
@@ -71,18 +71,30 @@
 // error with a verdict. Echo says which request the response names. With echoes set, the
 // backend server has named the request in an earlier response and is expected to do so in
 // all, so that a response without the name is a late copy of another request's. A response
-// without a final status is none, whatever its header says.
+// without a final status is none, whatever its header says, and neither is one whose header has
+// a field that is not one of HTTP.
 func Judge(codec Codec, r *call.Request, response *http.Response, echo Echo, echoes bool) error {
-	if !httpstatus.IsFinal(response.StatusCode) {
+	if !httphead.IsFinal(response.StatusCode) {
 		return verdict.New(verdict.MayHaveRun, verdict.StatusInvalid,
 			"the backend server sent status %d, which is none of a final response", response.StatusCode)
 	}
+	if err := checkFields(response.Header); err != nil {
+		return err
+	}
 	if echo == EchoOther || (echo == EchoMissing && echoes) {
 		return verdict.New(verdict.MayHaveRun, verdict.AnswerMismatch, "the backend server answered another request")
 	}
 	return codec.Judge(r, response)
 }
 
+// checkFields returns an error if the fields of a response's header or trailer are not valid.
+func checkFields(fields http.Header) error {
+	if err := httphead.CheckFields(fields); err != nil {
+		return verdict.New(verdict.MayHaveRun, verdict.HeadInvalid, "the backend server sent an invalid head: %v", err)
+	}
+	return nil
+}
+
 // defaultCodec uses the headers of package header.
 type defaultCodec struct{}
 
--- a/internal/owner/event.go
+++ b/internal/owner/event.go
@@ -16,10 +16,16 @@
 		"The backend server on this host names a rate of requests that is not a number of at least 0; it is ignored. Logged once.")
 	eventStatusInvalid = event.New(803, "backend-status-invalid", event.Warn,
 		"The backend server on this host sent a response whose status is not between 200 and 599. It is not passed on, and the request may have run. Logged at most once a second.")
+	eventHeadInvalid = event.New(804, "backend-head-invalid", event.Warn,
+		"The backend server on this host sent a response whose header or trailer has a field that is not one of HTTP, such as a name with a blank. It is not passed on, and the request may have run. Logged at most once a second.")
 )
 
-// statusLog limits the log lines about invalid statuses, in lines a second.
-var statusLog = rate.NewLimiter(1, 1)
+// statusLog and headLog limit the log lines about invalid statuses and heads, in lines a
+// second.
+var (
+	statusLog = rate.NewLimiter(1, 1)
+	headLog   = rate.NewLimiter(1, 1)
+)
 
 var (
 	metrics       = metric.NewGroup("owner")
@@ -27,6 +33,7 @@
 	metricRefused = metrics.IntMap("refused-by-code")
 
 	metricInvalidStatuses = metrics.Int("invalid-statuses")
+	metricInvalidHeads    = metrics.Int("invalid-heads")
 	metricWait            = metrics.Histogram("admission-wait-us")
 	// metricRefusedRollout counts the calls that rolloutStage refuses.
 	metricRefusedRollout = metrics.Int("refused-rollout-requests")
--- /dev/null
+++ b/internal/owner/head_test.go
@@ -0,0 +1,152 @@
+package owner_test
+
+import (
+	"context"
+	"fmt"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"curranthold.example/curranthold/internal/call"
+	"curranthold.example/curranthold/internal/owner"
+	"curranthold.example/curranthold/internal/standin"
+	"curranthold.example/curranthold/pkg/header"
+	"curranthold.example/curranthold/pkg/verdict"
+)
+
+// brokenFields returns lines of a response's header, by kind, that are no field of HTTP: the
+// name is none, or a byte of the name or the value is not allowed there.
+func brokenFields() map[string]string {
+	fields := map[string]string{
+		"blank inside":           "X Field: 1",
+		"blanks inside":          "X  Long  Field: 1",
+		"blank before the colon": "X-Field : 1",
+		"blank first":            " X-Field: 1",
+		"only a blank":           " : 1",
+		"name on two lines":      "X\r\n Field: 1",
+		"no name":                ": 1",
+		"no colon":               "X-Field",
+		"length inside":          "Content Length: 2",
+		"length":                 "Content-Length : 2",
+		"transfer coding":        "Transfer-Encoding : chunked",
+		"connection":             "Connection : close",
+		"request identifier":     header.RequestID + " : other",
+		"refusal":                header.Refused + " : overloaded",
+		"leaving":                header.Leaving + " : 1",
+		"byte above ASCII":       "X-F\xc3\xa4ld: 1",
+		"delimiter":              "X(Field): 1",
+	}
+	controls := []byte{0x7f}
+	for c := range byte(' ') {
+		if c != '\n' {
+			controls = append(controls, c)
+		}
+	}
+	for _, c := range controls {
+		control := string([]byte{c})
+		fields[fmt.Sprintf("%#x first", c)] = control + "X-Field: 1"
+		fields[fmt.Sprintf("%#x inside", c)] = "X-F" + control + "ield: 1"
+		fields[fmt.Sprintf("%#x before the colon", c)] = "X-Field" + control + ": 1"
+		if c != '\t' {
+			fields[fmt.Sprintf("%#x in the value", c)] = "X-Field: a" + control + "b"
+		}
+	}
+	return fields
+}
+
+// TestBrokenFields guards against a response that is passed on although a line of its header
+// is no field: the caller would get the line, or a body that is not the backend server's.
+func TestBrokenFields(t *testing.T) {
+	tests := map[string]struct{ status, rest string }{
+		"length":     {"200 OK", "Content-Length: 4\r\n\r\nbody"},
+		"no body":    {"200 OK", "Content-Length: 0\r\n\r\n"},
+		"chunks":     {"200 OK", "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n"},
+		"no length":  {"200 OK", "\r\nbody"},
+		"no content": {"204 No Content", "\r\n"},
+		"refusal":    {"503 Busy", header.Refused + ": overloaded\r\nContent-Length: 0\r\n\r\n"},
+	}
+	for kind, field := range brokenFields() {
+		for framing, test := range tests {
+			start := "HTTP/1.1 " + test.status + "\r\n"
+			ends := framing == "no length"
+			t.Run(kind+", "+framing+", first line", func(t *testing.T) {
+				testBrokenResponse(t, start+field+"\r\nX-Other: 1\r\n"+test.rest, ends)
+			})
+			if field[0] == ' ' || field[0] == '\t' {
+				continue // Behind another line it continues the value of that one.
+			}
+			t.Run(kind+", "+framing+", second line", func(t *testing.T) {
+				testBrokenResponse(t, start+"X-Other: 1\r\n"+field+"\r\n"+test.rest, ends)
+			})
+		}
+	}
+}
+
+// TestBrokenTrailers is TestBrokenFields for the trailer of a body in chunks.
+func TestBrokenTrailers(t *testing.T) {
+	for kind, field := range brokenFields() {
+		t.Run(kind, func(t *testing.T) {
+			testBrokenResponse(t, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n"+field+"\r\n\r\n", false)
+		})
+	}
+}
+
+// testBrokenResponse has a backend server send a response that must not be passed on, and
+// close the connection then if ends is set. The connection must not be used again.
+func testBrokenResponse(t *testing.T, broken string, ends bool) {
+	var connections atomic.Int64
+	o, _ := rawOwner(t, owner.Config{}, func(c *standin.RawConn) {
+		connections.Add(1)
+		for {
+			r, err := c.ReadRequest()
+			if err != nil {
+				return
+			}
+			if r.Header.Get(header.RequestID) == "second" {
+				_ = c.Write(response(200, "second", "", "second's"))
+				continue
+			}
+			if c.Write(broken) != nil || ends {
+				return
+			}
+		}
+	})
+	var answer call.Answer
+	o.Call(context.Background(), named("first", 5*time.Second), &answer)
+	qt.Assert(t, answer.Err != nil, qt.IsTrue, qt.Commentf("status %d, header %q, body %q", answer.Status, answer.Header, answer.Body))
+	qt.Check(t, answer.Err.Verdict, qt.Equals, verdict.MayHaveRun, qt.Commentf("%v", answer.Err))
+	qt.Check(t, answer.Err.Code == verdict.HeadInvalid || answer.Err.Code == verdict.BackendBroken, qt.IsTrue, qt.Commentf("%v", answer.Err))
+	qt.Check(t, answer.Status, qt.Equals, 0)
+	used := connections.Load()
+	answer = call.Answer{}
+	o.Call(context.Background(), named("second", 5*time.Second), &answer)
+	qt.Check(t, string(answer.Body), qt.Equals, "second's", qt.Commentf("%v", answer.Err))
+	qt.Check(t, connections.Load(), qt.Equals, used+1)
+}
+
+// TestUnusualFields guards against refusing a response whose fields are unusual and valid.
+func TestUnusualFields(t *testing.T) {
+	for name, field := range map[string]string{
+		"all characters of names": "X!#$%&'*+-.^_`|~09azAZ: 1",
+		"no value":                "X-Field:",
+		"no blank":                "X-Field:1",
+		"tabs around the value":   "X-Field:\t1\t",
+		"bytes above ASCII":       "X-Field: \xe4\xff",
+		"two lines":               "X-Field: 1\r\n 2",
+		"colons in the value":     "X-Field: a : b",
+	} {
+		t.Run(name, func(t *testing.T) {
+			o, _ := rawOwner(t, owner.Config{}, func(c *standin.RawConn) {
+				if _, err := c.ReadRequest(); err == nil {
+					_ = c.Write("HTTP/1.1 200 OK\r\n" + field + "\r\nContent-Length: 4\r\n\r\nbody")
+				}
+			})
+			var answer call.Answer
+			o.Call(context.Background(), named("first", 5*time.Second), &answer)
+			qt.Assert(t, answer.Err == nil, qt.IsTrue, qt.Commentf("%v", answer.Err))
+			qt.Check(t, string(answer.Body), qt.Equals, "body")
+		})
+	}
+}
--- a/internal/platform/metrics.go
+++ b/internal/platform/metrics.go
@@ -16,6 +16,7 @@
 	sentBytes           = metrics.Int("sent-bytes")
 	receivedBytes       = metrics.Int("received-bytes")
 	invalidStatuses     = metrics.Int("invalid-statuses")
+	invalidHeads        = metrics.Int("invalid-heads")
 )
 
 // errorCounts holds the counters of those of the package's errors that are counted.
--- a/internal/platform/service.go
+++ b/internal/platform/service.go
@@ -13,7 +13,7 @@
 	"time"
 
 	"curranthold.example/curranthold/internal/event"
-	"curranthold.example/curranthold/internal/httpstatus"
+	"curranthold.example/curranthold/internal/httphead"
 )
 
 // service is an HTTP client of one service of the platform.
@@ -123,10 +123,9 @@
 		return serviceResponse{}, err
 	}
 	defer func() { _ = resp.Body.Close() }()
-	if !httpstatus.IsFinal(resp.StatusCode) {
+	if err := checkHead(resp); err != nil {
 		s.http.CloseIdleConnections() // One without a body counts as idle already.
-		invalidStatuses.Add(1)
-		return serviceResponse{}, fmt.Errorf("status %d, which is none of a final response", resp.StatusCode)
+		return serviceResponse{}, err
 	}
 	body, err := io.ReadAll(io.LimitReader(resp.Body, r.maxResponseBytes+1))
 	receivedBytes.Add(int64(len(body)))
@@ -136,9 +135,31 @@
 	if int64(len(body)) > r.maxResponseBytes {
 		return serviceResponse{}, fmt.Errorf("answer exceeds %d bytes", r.maxResponseBytes)
 	}
+	if err := checkFields(resp.Trailer); err != nil {
+		s.http.CloseIdleConnections()
+		return serviceResponse{}, err
+	}
 	return serviceResponse{status: resp.StatusCode, header: resp.Header, body: body}, nil
 }
 
+// checkHead returns an error if the head is none of a final response.
+func checkHead(resp *http.Response) error {
+	if !httphead.IsFinal(resp.StatusCode) {
+		invalidStatuses.Add(1)
+		return fmt.Errorf("status %d, which is none of a final response", resp.StatusCode)
+	}
+	return checkFields(resp.Header)
+}
+
+// checkFields returns an error if the fields of a header or trailer are not valid.
+func checkFields(fields http.Header) error {
+	err := httphead.CheckFields(fields)
+	if err != nil {
+		invalidHeads.Add(1)
+	}
+	return err
+}
+
 // refusalErrors maps the status of a service's refusal to the code that must come
 // with it and to the error that it means.
 var refusalErrors = map[int]struct {
--- a/pkg/client/client.go
+++ b/pkg/client/client.go
@@ -13,6 +13,7 @@
 	"strings"
 	"time"
 
+	"curranthold.example/curranthold/internal/httphead"
 	"curranthold.example/curranthold/pkg/header"
 	"curranthold.example/curranthold/pkg/object"
 )
@@ -268,6 +269,11 @@
 	if err != nil {
 		return nil, err
 	}
+	if err := httphead.CheckFields(response.Header); err != nil {
+		_ = response.Body.Close()
+		client.CloseIdleConnections() // One without a body counts as idle already.
+		return nil, err
+	}
 	if response.StatusCode >= http.StatusBadRequest {
 		defer func() { _ = response.Body.Close() }()
 		return nil, decodeRefusal(response)
--- a/pkg/verdict/code.go
+++ b/pkg/verdict/code.go
@@ -37,6 +37,7 @@
 	AnswerTooLarge     Code = "answer-too-large"
 	AnswerMismatch     Code = "answer-mismatch"
 	StatusInvalid      Code = "status-invalid"
+	HeadInvalid        Code = "head-invalid"
 	Cancelled          Code = "cancelled"
 	NotReady           Code = "not-ready"
 	Internal           Code = "internal"
