Don't use a connection again after an invalid response

Cause: to net/http a connection is idle once all of a response was read, which without a body is before its user sees the head. We closed idle connections after the response was judged; another request could have got this one by then.

Ruled out: closing the connection alone, which would fail the request that got it with may-have-run.

A request now holds its connection until its response was judged. One to which net/http gives the connection before that waits, and if the response was invalid nothing of it is written and it is sent on another connection. The connection type of the owner moves to its own package, httpconn, so that the store's client uses it too. Other idle connections are not closed any more. A request of which nothing was written on several connections is now not-run.

--- a/internal/owner/backend.go
+++ b/internal/owner/backend.go
@@ -15,6 +15,7 @@
 	"sync/atomic"
 	"time"
 
+	"curranthold.example/curranthold/internal/httpconn"
 	"curranthold.example/curranthold/internal/kernel"
 	"curranthold.example/curranthold/internal/retry"
 	"curranthold.example/curranthold/internal/socket"
@@ -68,7 +69,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &offerConn{Conn: conn}, nil
+	return httpconn.New(conn), nil
 }
 
 // emptyBody is an empty body. With no body at all, net/http would resend the request by
@@ -141,16 +142,26 @@
 // is NotRun only if the request is invalid, nothing of it was written to a connection,
 // or the response has the header Refused.
 func (o *Owner) roundTrip(ctx context.Context, b *backend, c *activeCall, token string) error {
-	var conn *offerConn // nil if net/http has used a second connection
-	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
-		conn = nil
-		if !c.answer.Offered {
-			conn, _ = info.Conn.(*offerConn)
+	for {
+		err := o.tryRoundTrip(ctx, b, c, token)
+		if !errors.Is(err, errConnGivenUp) {
+			return err
 		}
+	}
+}
+
+// errConnGivenUp means that a request got a connection that had been given up, because the
+// response before on it was invalid. Nothing of the request was written.
+var errConnGivenUp = errors.New("owner: the connection had been given up")
+
+// tryRoundTrip is roundTrip once, which fails with errConnGivenUp if net/http chooses such a
+// connection.
+func (o *Owner) tryRoundTrip(ctx context.Context, b *backend, c *activeCall, token string) (err error) {
+	var use httpconn.Use
+	defer func() { use.Release(isResponse(err)) }()
+	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
 		c.answer.Offered = true
-		if conn != nil {
-			conn.use()
-		}
+		use.Acquire(info.Conn)
 	}}
 	request, err := o.newRequest(httptrace.WithClientTrace(ctx, trace), b, c, token)
 	if err != nil {
@@ -158,9 +169,12 @@
 	}
 	response, err := b.transport.RoundTrip(request)
 	if err != nil {
-		if conn != nil && conn.seal() {
+		if use.Seal() {
 			c.answer.Offered = false
 		}
+		if !c.answer.Offered && use.GivenUp() && ctx.Err() == nil {
+			return errConnGivenUp
+		}
 		return roundTripError(ctx, err, c.answer.Offered)
 	}
 	defer func() { _ = response.Body.Close() }()
@@ -173,9 +187,7 @@
 	} else {
 		discard(response, err)
 	}
-	if !isResponse(err) {
-		b.reject(c.request, response, err)
-	}
+	reportInvalid(c.request, response, err)
 	return err
 }
 
--- a/internal/owner/export_test.go
+++ b/internal/owner/export_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"net"
+
+	"curranthold.example/curranthold/internal/httpconn"
 )
 
 // WrapConns makes wrap see all that passes the connections to the backend server that is
@@ -15,8 +17,6 @@
 		if err != nil {
 			return nil, err
 		}
-		offered := conn.(*offerConn)
-		offered.Conn = wrap(offered.Conn)
-		return offered, nil
+		return httpconn.New(wrap(conn.(*httpconn.Conn).Conn)), nil
 	}
 }
--- a/internal/owner/invalid.go
+++ b/internal/owner/invalid.go
@@ -22,12 +22,12 @@
 	}
 }
 
-// reject gives up the connection of a response that is none to the request, as err says, and
-// counts and logs the response.
-func (b *backend) reject(r *call.Request, response *http.Response, err error) {
-	// To net/http a connection is idle after a response without a body, although the
-	// request's own response may follow on it.
-	b.transport.CloseIdleConnections()
+// reportInvalid counts and logs a response that is not passed on because of its head, as err
+// says.
+func reportInvalid(r *call.Request, response *http.Response, err error) {
+	if err == nil {
+		return
+	}
 	switch verdict.From(err).Code {
 	case verdict.StatusInvalid:
 		metricInvalidStatuses.Add(1)
--- a/internal/owner/offer.go
+++ b/internal/owner/offer.go
@@ -1,7 +1,6 @@
 package owner
 
 import (
-	"net"
 	"slices"
 	"sync/atomic"
 )
@@ -42,38 +41,3 @@
 func (r *recentIDs) contains(id string) bool {
 	return id != "" && slices.Contains(r.ring[:], id)
 }
-
-// offerConn is a connection to the backend server that knows whether anything of the
-// current request was written to it. It hides the other methods of the connection, so
-// that every write passes Write.
-type offerConn struct {
-	net.Conn
-	state atomic.Uint32
-}
-
-const (
-	connUnwritten = iota
-	connWritten
-	connSealed
-)
-
-// use marks the start of a request on the connection.
-func (c *offerConn) use() { c.state.CompareAndSwap(connWritten, connUnwritten) }
-
-// seal prevents further writes if none has begun since use, and reports whether so.
-// Net/http may write in the background, so that checking alone would not be enough.
-func (c *offerConn) seal() bool {
-	if !c.state.CompareAndSwap(connUnwritten, connSealed) {
-		return c.state.Load() == connSealed
-	}
-	_ = c.Close()
-	return true
-}
-
-// Write implements net.Conn.
-func (c *offerConn) Write(p []byte) (int, error) {
-	if !c.state.CompareAndSwap(connUnwritten, connWritten) && c.state.Load() == connSealed {
-		return 0, net.ErrClosed
-	}
-	return c.Conn.Write(p)
-}
--- a/internal/owner/offer_test.go
+++ b/internal/owner/offer_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -15,6 +14,7 @@
 
 	"curranthold.example/curranthold/internal/admission"
 	"curranthold.example/curranthold/internal/call"
+	"curranthold.example/curranthold/internal/httpconn"
 	"curranthold.example/curranthold/pkg/verdict"
 )
 
@@ -92,11 +92,11 @@
 // it. The request has not run; as may-have-run its caller could not repeat it.
 func TestNothingWritten(t *testing.T) {
 	tests := map[string]struct {
-		state uint32
-		want  verdict.Verdict
+		sealed bool
+		want   verdict.Verdict
 	}{
-		"nothing written": {connSealed, verdict.NotRun},
-		"written":         {connUnwritten, verdict.MayHaveRun},
+		"nothing written": {true, verdict.NotRun},
+		"written":         {false, verdict.MayHaveRun},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -108,8 +108,13 @@
 					_, _ = theirs.Read(make([]byte, 1))
 					_ = theirs.Close()
 				}()
-				conn := &offerConn{Conn: ours}
-				conn.state.Store(test.state)
+				conn := httpconn.New(ours)
+				if test.sealed {
+					var use httpconn.Use
+					use.Acquire(conn)
+					use.Seal()
+					use.Release(true)
+				}
 				return conn, nil
 			}
 			var answer call.Answer
@@ -122,20 +127,3 @@
 		})
 	}
 }
-
-// TestOfferConn checks that a sealed connection is never written to, and that a written
-// one can't be sealed until it is used again.
-func TestOfferConn(t *testing.T) {
-	ours, theirs := net.Pipe()
-	go func() { _, _ = io.Copy(io.Discard, theirs) }()
-	c := &offerConn{Conn: ours}
-	_, err := c.Write([]byte("x"))
-	qt.Assert(t, err, qt.IsNil)
-	qt.Check(t, c.seal(), qt.IsFalse)
-	c.use()
-	qt.Check(t, c.seal(), qt.IsTrue)
-	c.use()
-	_, err = c.Write([]byte("x"))
-	qt.Check(t, err, qt.ErrorIs, net.ErrClosed)
-	qt.Check(t, c.seal(), qt.IsTrue)
-}
--- a/internal/platform/export_test.go
+++ b/internal/platform/export_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"net"
+
+	"curranthold.example/curranthold/internal/httpconn"
 )
 
 // WrapConns makes wrap see all that passes the service's connections. It must be called
@@ -14,6 +16,6 @@
 		if err != nil {
 			return nil, err
 		}
-		return wrap(conn), nil
+		return httpconn.New(wrap(conn.(*httpconn.Conn).Conn)), nil
 	}
 }
--- a/internal/platform/service.go
+++ b/internal/platform/service.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"curranthold.example/curranthold/internal/event"
+	"curranthold.example/curranthold/internal/httpconn"
 	"curranthold.example/curranthold/internal/httphead"
 )
 
@@ -98,8 +99,13 @@
 	ctx, cancel := context.WithTimeout(ctx, s.timeout+r.maxServiceWait)
 	defer cancel()
 	var gotConnection atomic.Bool
-	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { gotConnection.Store(true) }}
+	var use httpconn.Use
+	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
+		gotConnection.Store(true)
+		use.Acquire(info.Conn)
+	}}
 	response, err := s.roundTrip(httptrace.WithClientTrace(ctx, trace), r)
+	use.Release(!errors.Is(err, errInvalidHead))
 	switch {
 	case err != nil && (!r.write || !gotConnection.Load()):
 		return serviceResponse{}, fmt.Errorf("%w: %w", ErrUnavailable, err)
@@ -124,7 +130,6 @@
 	}
 	defer func() { _ = resp.Body.Close() }()
 	if err := checkHead(resp); err != nil {
-		s.http.CloseIdleConnections() // One without a body counts as idle already.
 		return serviceResponse{}, err
 	}
 	body, err := io.ReadAll(io.LimitReader(resp.Body, r.maxResponseBytes+1))
@@ -136,28 +141,32 @@
 		return serviceResponse{}, fmt.Errorf("answer exceeds %d bytes", r.maxResponseBytes)
 	}
 	if err := checkFields(resp.Trailer); err != nil {
-		s.http.CloseIdleConnections()
 		return serviceResponse{}, err
 	}
 	return serviceResponse{status: resp.StatusCode, header: resp.Header, body: body}, nil
 }
 
-// checkHead returns an error if the head is none of a final response.
+// errInvalidHead means that a response has an invalid head or trailer. Its connection is not
+// used again.
+var errInvalidHead = errors.New("invalid head")
+
+// checkHead returns errInvalidHead if the head is none of a final response.
 func checkHead(resp *http.Response) error {
 	if !httphead.IsFinal(resp.StatusCode) {
 		invalidStatuses.Add(1)
-		return fmt.Errorf("status %d, which is none of a final response", resp.StatusCode)
+		return fmt.Errorf("%w: status %d, which is none of a final response", errInvalidHead, resp.StatusCode)
 	}
 	return checkFields(resp.Header)
 }
 
-// checkFields returns an error if the fields of a header or trailer are not valid.
+// checkFields returns errInvalidHead if the fields of a header or trailer are not valid.
 func checkFields(fields http.Header) error {
 	err := httphead.CheckFields(fields)
-	if err != nil {
-		invalidHeads.Add(1)
+	if err == nil {
+		return nil
 	}
-	return err
+	invalidHeads.Add(1)
+	return fmt.Errorf("%w: %w", errInvalidHead, err)
 }
 
 // refusalErrors maps the status of a service's refusal to the code that must come
