Count and log responses that break off or can't be read

What operators saw: a response that broke off, was reset or had a head that net/http refuses counted only among all other failures with the code backend-broken, and no line at the host of the backend server named the request. Invalid statuses had both.

One table says for each code what is counted and logged, where the judge of a response had a case for each.

--- a/internal/owner/backend.go
+++ b/internal/owner/backend.go
@@ -159,10 +159,14 @@
 func (o *Owner) tryRoundTrip(ctx context.Context, b *backend, c *activeCall, token string) (err error) {
 	var use httpconn.Use
 	defer func() { use.Release(isResponse(err)) }()
-	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
-		c.answer.Offered = true
-		use.Acquire(info.Conn)
-	}}
+	var begun atomic.Bool // The response has begun.
+	trace := &httptrace.ClientTrace{
+		GotConn: func(info httptrace.GotConnInfo) {
+			c.answer.Offered = true
+			use.Acquire(info.Conn)
+		},
+		GotFirstResponseByte: func() { begun.Store(true) },
+	}
 	request, err := o.newRequest(httptrace.WithClientTrace(ctx, trace), b, c, token)
 	if err != nil {
 		return verdict.New(verdict.NotRun, verdict.BadRequest, "%v", err)
@@ -175,7 +179,11 @@
 		if !c.answer.Offered && use.GivenUp() && ctx.Err() == nil {
 			return errConnGivenUp
 		}
-		return roundTripError(ctx, err, c.answer.Offered)
+		err = roundTripError(ctx, err, c.answer.Offered)
+		if begun.Load() {
+			reportInvalid(c.request, 0, err)
+		}
+		return err
 	}
 	defer func() { _ = response.Body.Close() }()
 	err = o.judge(b, c.request, response)
@@ -187,7 +195,7 @@
 	} else {
 		discard(response, err)
 	}
-	reportInvalid(c.request, response, err)
+	reportInvalid(c.request, response.StatusCode, err)
 	return err
 }
 
--- a/internal/owner/event.go
+++ b/internal/owner/event.go
@@ -1,8 +1,6 @@
 package owner
 
 import (
-	"golang.org/x/time/rate"
-
 	"curranthold.example/curranthold/internal/event"
 	"curranthold.example/curranthold/internal/metric"
 )
@@ -18,23 +16,15 @@
 		"The backend server on this host sent a response whose status is not between 200 and 599. It is not passed on, and the request may have run. Logged at most once a second.")
 	eventHeadInvalid = event.New(804, "backend-head-invalid", event.Warn,
 		"The backend server on this host sent a response whose header or trailer has a field that is not one of HTTP, such as a name with a blank. It is not passed on, and the request may have run. Logged at most once a second.")
-)
-
-// statusLog and headLog limit the log lines about invalid statuses and heads, in lines a
-// second.
-var (
-	statusLog = rate.NewLimiter(1, 1)
-	headLog   = rate.NewLimiter(1, 1)
+	eventResponseBroken = event.New(805, "backend-response-broken", event.Warn,
+		"The backend server on this host began a response that broke off, could not be read as one of HTTP, or lacks the backend server's signature. It is not passed on, and the request may have run. Logged at most once a second.")
 )
 
 var (
 	metrics       = metric.NewGroup("owner")
 	metricServed  = metrics.Int("served")
 	metricRefused = metrics.IntMap("refused-by-code")
-
-	metricInvalidStatuses = metrics.Int("invalid-statuses")
-	metricInvalidHeads    = metrics.Int("invalid-heads")
-	metricWait            = metrics.Histogram("admission-wait-us")
+	metricWait    = metrics.Histogram("admission-wait-us")
 	// metricRefusedRollout counts the calls that rolloutStage refuses.
 	metricRefusedRollout = metrics.Int("refused-rollout-requests")
 	metricBackend        = metrics.Histogram("backend-latency-us")
--- a/internal/owner/invalid.go
+++ b/internal/owner/invalid.go
@@ -1,7 +1,9 @@
 package owner
 
 import (
-	"net/http"
+	"expvar"
+
+	"golang.org/x/time/rate"
 
 	"curranthold.example/curranthold/internal/call"
 	"curranthold.example/curranthold/internal/event"
@@ -22,22 +24,34 @@
 	}
 }
 
-// reportInvalid counts and logs a response that is not passed on because of its head, as err
-// says.
-func reportInvalid(r *call.Request, response *http.Response, err error) {
+// invalidKind is a kind of responses that are not passed on, as operators see it.
+type invalidKind struct {
+	count *expvar.Int
+	event *event.Event
+	// lines limits the log lines, in lines a second.
+	lines *rate.Limiter
+}
+
+// invalidKinds holds the kinds of responses that are counted and logged, by the code of the
+// error that their callers get.
+var invalidKinds = map[verdict.Code]invalidKind{
+	verdict.StatusInvalid: {metrics.Int("invalid-statuses"), eventStatusInvalid, rate.NewLimiter(1, 1)},
+	verdict.HeadInvalid:   {metrics.Int("invalid-heads"), eventHeadInvalid, rate.NewLimiter(1, 1)},
+	verdict.BackendBroken: {metrics.Int("broken-responses"), eventResponseBroken, rate.NewLimiter(1, 1)},
+}
+
+// reportInvalid counts and logs a response that is not passed on, as err says. Status is that
+// of the response, 0 if its head could not be read.
+func reportInvalid(r *call.Request, status int, err error) {
 	if err == nil {
 		return
 	}
-	switch verdict.From(err).Code {
-	case verdict.StatusInvalid:
-		metricInvalidStatuses.Add(1)
-		if statusLog.Allow() {
-			eventStatusInvalid.Log(event.Fields{"request": r.RequestID, "service": r.Service, "status": response.StatusCode})
-		}
-	case verdict.HeadInvalid:
-		metricInvalidHeads.Add(1)
-		if headLog.Allow() {
-			eventHeadInvalid.Log(event.Fields{"request": r.RequestID, "service": r.Service, "reason": err.Error()})
-		}
+	kind, ok := invalidKinds[verdict.From(err).Code]
+	if !ok {
+		return
+	}
+	kind.count.Add(1)
+	if kind.lines.Allow() {
+		kind.event.Log(event.Fields{"request": r.RequestID, "service": r.Service, "status": status, "reason": err.Error()})
 	}
 }
