Refuse responses of HTTP/1.0 with a transfer coding

What callers saw: a backend server sent chunks under "HTTP/1.0 200 OK". The caller got a 200 whose body was the chunks with their sizes. A write to the store counted as done.

Cause: HTTP/1.0 has no transfer codings; RFC 9112, 6.1, has a recipient treat the framing of such a response as faulty. net/http drops the field and reads the body as if it had none.

Ruled out: to see it in the response that net/http returns, which has no trace of the field; to refuse all responses of HTTP/1.0 without a length, since sound ones end with the connection.

httpconn.Conn keeps the head of a response that begins with HTTP/1.0, and CheckFraming reads it again with net/textproto. Nothing is copied of other responses.

Evidence: on the earlier code 5 of 19 cases of TestBrokenFraming were passed on, and TestServiceBrokenFraming failed; net/http refuses the other 14. All pass now, and TestOldVersion before and after. internal/httpconn, owner and platform pass with the race detector.

--- a/internal/httpconn/httpconn.go
+++ b/internal/httpconn/httpconn.go
@@ -1,5 +1,6 @@
 // Package httpconn provides connections for a transport of net/http that are given up after
-// an invalid response, and that know whether anything of a request was written to them.
+// an invalid response, and that know what net/http does not tell: whether anything of a request
+// was written to them, and whether a response of HTTP/1.0 had a transfer coding.
 //
 // To net/http a connection is idle as soon as all of a response was read, before its user
 // has seen the response. If the response turns out to be invalid, where the next one begins
@@ -21,6 +22,7 @@
 	used sync.Mutex
 	// givenUp is set after an invalid response. It is guarded by used.
 	givenUp bool
+	oldHead oldHead
 }
 
 const (
@@ -40,11 +42,19 @@
 	return c.Conn.Write(p)
 }
 
+// Read implements net.Conn.
+func (c *Conn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.oldHead.observe(p[:n])
+	return n, err
+}
+
 // acquire marks the start of a request on the connection. It waits until the request before
 // is released.
 func (c *Conn) acquire() {
 	c.used.Lock()
 	c.state.CompareAndSwap(written, unwritten)
+	c.oldHead.expect()
 }
 
 // release ends the request that has acquired the connection.
--- a/internal/owner/answer.go
+++ b/internal/owner/answer.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"curranthold.example/curranthold/internal/call"
+	"curranthold.example/curranthold/internal/httphead"
 	"curranthold.example/curranthold/pkg/verdict"
 )
 
@@ -83,7 +84,7 @@
 	if err != nil {
 		return roundTripError(ctx, err, true)
 	}
-	if err := checkFields(response.Trailer); err != nil {
+	if err := invalidHead(httphead.CheckFields(response.Trailer)); err != nil {
 		return err
 	}
 	c.answer.Status = response.StatusCode
--- a/internal/owner/backend.go
+++ b/internal/owner/backend.go
@@ -186,7 +186,9 @@
 		return err
 	}
 	defer func() { _ = response.Body.Close() }()
-	err = o.judge(b, c.request, response)
+	if err = invalidHead(use.CheckFraming(response)); err == nil {
+		err = o.judge(b, c.request, response)
+	}
 	if isResponse(err) {
 		o.observeNotice(b, o.config.Codec.Notice(response))
 	}
--- a/internal/owner/codec.go
+++ b/internal/owner/codec.go
@@ -78,7 +78,7 @@
 		return verdict.New(verdict.MayHaveRun, verdict.StatusInvalid,
 			"the backend server sent status %d, which is none of a final response", response.StatusCode)
 	}
-	if err := checkFields(response.Header); err != nil {
+	if err := invalidHead(httphead.CheckFields(response.Header)); err != nil {
 		return err
 	}
 	if echo == EchoOther || (echo == EchoMissing && echoes) {
@@ -87,14 +87,6 @@
 	return codec.Judge(r, response)
 }
 
-// checkFields returns an error if the fields of a response's header or trailer are not valid.
-func checkFields(fields http.Header) error {
-	if err := httphead.CheckFields(fields); err != nil {
-		return verdict.New(verdict.MayHaveRun, verdict.HeadInvalid, "the backend server sent an invalid head: %v", err)
-	}
-	return nil
-}
-
 // defaultCodec uses the headers of package header.
 type defaultCodec struct{}
 
--- a/internal/owner/head_test.go
+++ b/internal/owner/head_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -150,3 +151,76 @@
 		})
 	}
 }
+
+// TestBrokenFraming guards against a response whose head does not say for sure where its body
+// ends.
+func TestBrokenFraming(t *testing.T) {
+	const chunks = "4\r\nbody\r\n0\r\n\r\n"
+	tests := map[string]string{
+		"HTTP/1.0, chunks":            "HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + chunks,
+		"HTTP/1.0, chunks and length": "HTTP/1.0 200 OK\r\nContent-Length: 4\r\ntransfer-encoding: chunked\r\n\r\nbody",
+		"HTTP/1.0, kept open":         "HTTP/1.0 200 OK\r\nConnection: keep-alive\r\nContent-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\nbody",
+		"HTTP/1.0, no body":           "HTTP/1.0 204 No Content\r\nTransfer-Encoding: chunked\r\n\r\n",
+		"HTTP/1.0, long head":         "HTTP/1.0 200 OK\r\nX-Long: " + strings.Repeat("x", 6000) + "\r\nTransfer-Encoding: chunked\r\n\r\n" + chunks,
+		"two codings":                 "HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip, chunked\r\n\r\n" + chunks,
+		"coding other than chunks":    "HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\n\r\nbody",
+		"chunks twice":                "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n\r\n" + chunks,
+		"two lengths":                 "HTTP/1.1 200 OK\r\nContent-Length: 4\r\nContent-Length: 5\r\n\r\nbody",
+		"list of lengths":             "HTTP/1.1 200 OK\r\nContent-Length: 4, 5\r\n\r\nbody",
+		"length with a sign":          "HTTP/1.1 200 OK\r\nContent-Length: +4\r\n\r\nbody",
+		"negative length":             "HTTP/1.1 200 OK\r\nContent-Length: -4\r\n\r\nbody",
+		"hexadecimal length":          "HTTP/1.1 200 OK\r\nContent-Length: 0x4\r\n\r\nbody",
+		"empty length":                "HTTP/1.1 200 OK\r\nContent-Length:\r\n\r\nbody",
+		"length too large":            "HTTP/1.1 200 OK\r\nContent-Length: 99999999999999999999\r\n\r\nbody",
+		"invalid length, chunks":      "HTTP/1.1 200 OK\r\nContent-Length: x\r\nTransfer-Encoding: chunked\r\n\r\n" + chunks,
+		"invalid length, no content":  "HTTP/1.1 204 No Content\r\nContent-Length: x\r\n\r\n",
+		"size of a chunk":             "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n+" + chunks,
+		"end of a chunk":              "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbodyX\r\n0\r\n\r\n",
+	}
+	for name, broken := range tests {
+		t.Run(name, func(t *testing.T) {
+			testBrokenResponse(t, broken, strings.HasPrefix(broken, "HTTP/1.0"))
+		})
+	}
+}
+
+// TestOldVersion guards against refusing a sound response of HTTP/1.0.
+func TestOldVersion(t *testing.T) {
+	tests := map[string]string{
+		"length":            "HTTP/1.0 200 OK\r\nContent-Length: 4\r\n\r\nbody",
+		"no length":         "HTTP/1.0 200 OK\r\nX-Field: Transfer-Encoding: chunked\r\n\r\nbody",
+		"connection kept":   "HTTP/1.0 200 OK\r\nConnection: keep-alive\r\nContent-Length: 4\r\n\r\nbody",
+		"bare line feeds":   "HTTP/1.0 200 OK\nContent-Length: 4\n\nbody",
+		"one byte a packet": "HTTP/1.0 200 OK\r\nContent-Length: 4\r\n\r\nbody",
+	}
+	for name, sound := range tests {
+		t.Run(name, func(t *testing.T) {
+			o, _ := rawOwner(t, owner.Config{}, func(c *standin.RawConn) {
+				for {
+					if _, err := c.ReadRequest(); err != nil {
+						return
+					}
+					pieces := []string{sound}
+					if name == "one byte a packet" {
+						pieces = strings.Split(sound, "")
+					}
+					for _, piece := range pieces {
+						if c.Write(piece) != nil {
+							return
+						}
+						time.Sleep(time.Millisecond)
+					}
+					if name != "connection kept" {
+						return
+					}
+				}
+			})
+			for _, id := range []string{"first", "second"} {
+				var answer call.Answer
+				o.Call(context.Background(), named(id, 5*time.Second), &answer)
+				qt.Assert(t, answer.Err == nil, qt.IsTrue, qt.Commentf("%v", answer.Err))
+				qt.Check(t, string(answer.Body), qt.Equals, "body")
+			}
+		})
+	}
+}
--- a/internal/owner/invalid.go
+++ b/internal/owner/invalid.go
@@ -24,6 +24,15 @@
 	}
 }
 
+// invalidHead returns the error of a response whose head or trailer was checked with the
+// result err, or nil if that is nil.
+func invalidHead(err error) error {
+	if err == nil {
+		return nil
+	}
+	return verdict.New(verdict.MayHaveRun, verdict.HeadInvalid, "the backend server sent an invalid head: %v", err)
+}
+
 // invalidKind is a kind of responses that are not passed on, as operators see it.
 type invalidKind struct {
 	count *expvar.Int
--- a/internal/platform/service.go
+++ b/internal/platform/service.go
@@ -104,7 +104,7 @@
 		gotConnection.Store(true)
 		use.Acquire(info.Conn)
 	}}
-	response, err := s.roundTrip(httptrace.WithClientTrace(ctx, trace), r)
+	response, err := s.roundTrip(httptrace.WithClientTrace(ctx, trace), r, &use)
 	use.Release(!errors.Is(err, errInvalidHead))
 	switch {
 	case err != nil && (!r.write || !gotConnection.Load()):
@@ -118,7 +118,8 @@
 	}
 }
 
-func (s *service) roundTrip(ctx context.Context, r request) (serviceResponse, error) {
+// roundTrip sends r and reads the response, on the connection of use.
+func (s *service) roundTrip(ctx context.Context, r request, use *httpconn.Use) (serviceResponse, error) {
 	req, err := http.NewRequestWithContext(ctx, r.method, "http://"+s.address+r.path, bytes.NewReader(r.body))
 	if err != nil {
 		return serviceResponse{}, err
@@ -129,7 +130,7 @@
 		return serviceResponse{}, err
 	}
 	defer func() { _ = resp.Body.Close() }()
-	if err := checkHead(resp); err != nil {
+	if err := checkHead(resp, use); err != nil {
 		return serviceResponse{}, err
 	}
 	body, err := io.ReadAll(io.LimitReader(resp.Body, r.maxResponseBytes+1))
@@ -140,7 +141,7 @@
 	if int64(len(body)) > r.maxResponseBytes {
 		return serviceResponse{}, fmt.Errorf("answer exceeds %d bytes", r.maxResponseBytes)
 	}
-	if err := checkFields(resp.Trailer); err != nil {
+	if err := countInvalid(httphead.CheckFields(resp.Trailer)); err != nil {
 		return serviceResponse{}, err
 	}
 	return serviceResponse{status: resp.StatusCode, header: resp.Header, body: body}, nil
@@ -151,17 +152,20 @@
 var errInvalidHead = errors.New("invalid head")
 
 // checkHead returns errInvalidHead if the head is none of a final response.
-func checkHead(resp *http.Response) error {
+func checkHead(resp *http.Response, use *httpconn.Use) error {
 	if !httphead.IsFinal(resp.StatusCode) {
 		invalidStatuses.Add(1)
 		return fmt.Errorf("%w: status %d, which is none of a final response", errInvalidHead, resp.StatusCode)
 	}
-	return checkFields(resp.Header)
+	if err := use.CheckFraming(resp); err != nil {
+		return countInvalid(err)
+	}
+	return countInvalid(httphead.CheckFields(resp.Header))
 }
 
-// checkFields returns errInvalidHead if the fields of a header or trailer are not valid.
-func checkFields(fields http.Header) error {
-	err := httphead.CheckFields(fields)
+// countInvalid returns errInvalidHead if err, the result of a check of a head or trailer, is
+// not nil.
+func countInvalid(err error) error {
 	if err == nil {
 		return nil
 	}
--- a/internal/platform/status_test.go
+++ b/internal/platform/status_test.go
@@ -23,7 +23,7 @@
 			"body": "Content-Length: 2\r\n\r\n{}", "no body": "Content-Length: 0\r\n\r\n", "no length": "\r\n",
 		} {
 			t.Run(status+", "+name, func(t *testing.T) {
-				testBrokenResponse(t, "HTTP/1.1 "+status+" Status\r\n"+rest)
+				testBrokenResponse(t, "HTTP/1.1 "+status+" Status\r\n"+rest, false)
 			})
 		}
 	}
@@ -46,26 +46,34 @@
 	} {
 		for name, rest := range responses {
 			t.Run(kind+", "+name, func(t *testing.T) {
-				testBrokenResponse(t, "HTTP/1.1 200 OK\r\n"+strings.ReplaceAll(rest, "FIELD", field))
+				testBrokenResponse(t, "HTTP/1.1 200 OK\r\n"+strings.ReplaceAll(rest, "FIELD", field), false)
 			})
 		}
 	}
 }
 
+// TestServiceBrokenFraming guards against a write that is taken for done because of a response
+// of HTTP/1.0 with a transfer coding.
+func TestServiceBrokenFraming(t *testing.T) {
+	testBrokenResponse(t, "HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\n{}\r\n0\r\n\r\n", true)
+}
+
 // testBrokenResponse has the service answer a write with a response that must not be taken
-// for one. The outcome of the write is unknown, and its connection is not used again.
-func testBrokenResponse(t *testing.T, broken string) {
+// for one, and close the connection then if ends is set. The outcome of the write is unknown,
+// and its connection is not used again.
+func testBrokenResponse(t *testing.T, broken string, ends bool) {
 	var connections atomic.Int64
 	server, err := standin.NewRawServer(func(c *standin.RawConn) {
 		answer := "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}"
-		if connections.Add(1) == 1 {
+		first := connections.Add(1) == 1
+		if first {
 			answer = broken
 		}
 		for {
 			if _, err := c.ReadRequest(); err != nil {
 				return
 			}
-			if c.Write(answer) != nil {
+			if c.Write(answer) != nil || (first && ends) {
 				return
 			}
 		}
