Refuse responses whose status line is none of HTTP/1

What callers saw: a response whose reason phrase had a control byte, or whose version was HTTP/2.0 on a connection of HTTP/1.1, was passed on. The line itself did not reach them, since a node writes its own.

Cause: net/http takes the reason as it is and reads any version as HTTP/1.1 or 1.0.

RFC 9112 has a recipient take an element with a bare CR for invalid, and gives no other control byte a place in the reason. A version other than HTTP/1 is refused where the connection is known to be one of HTTP/1 (httpconn).

--- a/internal/httpconn/oldhead.go
+++ b/internal/httpconn/oldhead.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"bytes"
 	"errors"
+	"fmt"
 	"net/http"
 	"net/textproto"
 	"sync"
@@ -82,10 +83,13 @@
 	return fields, nil
 }
 
-// CheckFraming returns an error if the response, to the request that uses u, has a transfer
-// coding although it is of HTTP/1.0. Its framing is then faulty (RFC 9112, section 6.1);
-// net/http would take the coded bytes for the body.
+// CheckFraming returns an error if the response, to the request that uses u, is not one of
+// HTTP/1, or has a transfer coding although it is of HTTP/1.0. Its framing is then unknown or
+// faulty (RFC 9112, section 6.1); net/http would take the coded bytes for the body.
 func (u *Use) CheckFraming(response *http.Response) error {
+	if response.ProtoMajor != 1 {
+		return fmt.Errorf("httpconn: a response of %q", response.Proto)
+	}
 	if u.conn == nil || response.ProtoAtLeast(1, 1) {
 		return nil
 	}
--- a/internal/httphead/httphead.go
+++ b/internal/httphead/httphead.go
@@ -16,6 +16,15 @@
 // and not a number that is no status.
 func IsFinal(status int) bool { return status >= http.StatusOK && status <= maxStatus }
 
+// Check returns an error if the reason phrase or a field of the response is not one of HTTP;
+// see [CheckFields].
+func Check(response *http.Response) error {
+	if !httpguts.ValidHeaderFieldValue(response.Status) {
+		return fmt.Errorf("httphead: invalid reason phrase: %q", response.Status)
+	}
+	return CheckFields(response.Header)
+}
+
 // CheckFields returns an error if a name or a value in the header, or in a trailer, is not
 // one of HTTP. Net/http accepts names with blanks. A line with such a name may have been
 // meant for another field, for instance one that says where the body ends.
--- a/internal/owner/codec.go
+++ b/internal/owner/codec.go
@@ -78,7 +78,7 @@
 		return verdict.New(verdict.MayHaveRun, verdict.StatusInvalid,
 			"the backend server sent status %d, which is none of a final response", response.StatusCode)
 	}
-	if err := invalidHead(httphead.CheckFields(response.Header)); err != nil {
+	if err := invalidHead(httphead.Check(response)); err != nil {
 		return err
 	}
 	if echo == EchoOther || (echo == EchoMissing && echoes) {
--- a/internal/owner/event.go
+++ b/internal/owner/event.go
@@ -15,7 +15,7 @@
 	eventStatusInvalid = event.New(803, "backend-status-invalid", event.Warn,
 		"The backend server on this host sent a response whose status is not between 200 and 599. It is not passed on, and the request may have run. Logged at most once a second.")
 	eventHeadInvalid = event.New(804, "backend-head-invalid", event.Warn,
-		"The backend server on this host sent a response whose header or trailer has a field that is not one of HTTP, such as a name with a blank, or which is of HTTP/1.0 and has a transfer coding. It is not passed on, and the request may have run. Logged at most once a second.")
+		"The backend server on this host sent a response whose head or trailer is not one of HTTP/1: a name with a blank, a control byte in the reason, another version, or HTTP/1.0 with a transfer coding. It is not passed on, and the request may have run. Logged at most once a second.")
 	eventResponseBroken = event.New(805, "backend-response-broken", event.Warn,
 		"The backend server on this host began a response that broke off, could not be read as one of HTTP, or lacks the backend server's signature. It is not passed on, and the request may have run. Logged at most once a second.")
 )
--- a/internal/owner/head_test.go
+++ b/internal/owner/head_test.go
@@ -39,13 +39,7 @@
 		"byte above ASCII":       "X-F\xc3\xa4ld: 1",
 		"delimiter":              "X(Field): 1",
 	}
-	controls := []byte{0x7f}
-	for c := range byte(' ') {
-		if c != '\n' {
-			controls = append(controls, c)
-		}
-	}
-	for _, c := range controls {
+	for _, c := range controlBytes() {
 		control := string([]byte{c})
 		fields[fmt.Sprintf("%#x first", c)] = control + "X-Field: 1"
 		fields[fmt.Sprintf("%#x inside", c)] = "X-F" + control + "ield: 1"
@@ -57,6 +51,17 @@
 	return fields
 }
 
+// controlBytes returns the control bytes other than the line feed, which ends a line.
+func controlBytes() []byte {
+	controls := []byte{0x7f}
+	for c := range byte(' ') {
+		if c != '\n' {
+			controls = append(controls, c)
+		}
+	}
+	return controls
+}
+
 // TestBrokenFields guards against a response that is passed on although a line of its header
 // is no field: the caller would get the line, or a body that is not the backend server's.
 func TestBrokenFields(t *testing.T) {
@@ -85,6 +90,22 @@
 	}
 }
 
+// TestUnusualStatusLine guards against refusing a response whose status line is unusual and
+// valid.
+func TestUnusualStatusLine(t *testing.T) {
+	for name, line := range map[string]string{
+		"no reason":               "HTTP/1.1 200",
+		"empty reason":            "HTTP/1.1 200 ",
+		"tab in the reason":       "HTTP/1.1 200 very\tgood",
+		"bytes above ASCII":       "HTTP/1.1 200 gr\xfc\xdfe",
+		"later version of HTTP/1": "HTTP/1.9 200 OK",
+	} {
+		t.Run(name, func(t *testing.T) {
+			testSoundResponse(t, line+"\r\nContent-Length: 4\r\n\r\nbody")
+		})
+	}
+}
+
 // TestBrokenTrailers is TestBrokenFields for the trailer of a body in chunks.
 func TestBrokenTrailers(t *testing.T) {
 	for kind, field := range brokenFields() {
@@ -139,19 +160,24 @@
 		"colons in the value":     "X-Field: a : b",
 	} {
 		t.Run(name, func(t *testing.T) {
-			o, _ := rawOwner(t, owner.Config{}, func(c *standin.RawConn) {
-				if _, err := c.ReadRequest(); err == nil {
-					_ = c.Write("HTTP/1.1 200 OK\r\n" + field + "\r\nContent-Length: 4\r\n\r\nbody")
-				}
-			})
-			var answer call.Answer
-			o.Call(context.Background(), named("first", 5*time.Second), &answer)
-			qt.Assert(t, answer.Err == nil, qt.IsTrue, qt.Commentf("%v", answer.Err))
-			qt.Check(t, string(answer.Body), qt.Equals, "body")
+			testSoundResponse(t, "HTTP/1.1 200 OK\r\n"+field+"\r\nContent-Length: 4\r\n\r\nbody")
 		})
 	}
 }
 
+// testSoundResponse has a backend server send a response that must be passed on.
+func testSoundResponse(t *testing.T, sound string) {
+	o, _ := rawOwner(t, owner.Config{}, func(c *standin.RawConn) {
+		if _, err := c.ReadRequest(); err == nil {
+			_ = c.Write(sound)
+		}
+	})
+	var answer call.Answer
+	o.Call(context.Background(), named("first", 5*time.Second), &answer)
+	qt.Assert(t, answer.Err == nil, qt.IsTrue, qt.Commentf("%v", answer.Err))
+	qt.Check(t, string(answer.Body), qt.Equals, "body")
+}
+
 // TestBrokenFraming guards against a response whose head does not say for sure where its body
 // ends.
 func TestBrokenFraming(t *testing.T) {
@@ -184,6 +210,35 @@
 	}
 }
 
+// TestBrokenStatusLine guards against a response that is passed on although its status line is
+// none of HTTP/1. Net/http takes the reason phrase as it is.
+func TestBrokenStatusLine(t *testing.T) {
+	lines := map[string]string{
+		"later version":         "HTTP/2.0 200 OK",
+		"earlier version":       "HTTP/0.9 200 OK",
+		"version in lower case": "http/1.1 200 OK",
+		"blank first":           " HTTP/1.1 200 OK",
+		"tab before the status": "HTTP/1.1\t200 OK",
+		"tab after the status":  "HTTP/1.1 200\tOK",
+		"empty line first":      "\r\nHTTP/1.1 200 OK",
+		"no status":             "HTTP/1.1 OK",
+	}
+	for _, c := range controlBytes() {
+		control := string([]byte{c})
+		lines[fmt.Sprintf("%#x first", c)] = control + "HTTP/1.1 200 OK"
+		lines[fmt.Sprintf("%#x in the version", c)] = "HTTP/1" + control + ".1 200 OK"
+		lines[fmt.Sprintf("%#x in the status", c)] = "HTTP/1.1 2" + control + "0 OK"
+		if c != '\t' {
+			lines[fmt.Sprintf("%#x in the reason", c)] = "HTTP/1.1 200 O" + control + "K"
+		}
+	}
+	for name, line := range lines {
+		t.Run(name, func(t *testing.T) {
+			testBrokenResponse(t, line+"\r\nContent-Length: 4\r\n\r\nbody", false)
+		})
+	}
+}
+
 // TestOldVersion guards against refusing a sound response of HTTP/1.0.
 func TestOldVersion(t *testing.T) {
 	tests := map[string]string{
--- a/internal/platform/service.go
+++ b/internal/platform/service.go
@@ -160,7 +160,7 @@
 	if err := use.CheckFraming(resp); err != nil {
 		return countInvalid(err)
 	}
-	return countInvalid(httphead.CheckFields(resp.Header))
+	return countInvalid(httphead.Check(resp))
 }
 
 // countInvalid returns errInvalidHead if err, the result of a check of a head or trailer, is
--- a/pkg/client/client.go
+++ b/pkg/client/client.go
@@ -269,7 +269,7 @@
 	if err != nil {
 		return nil, err
 	}
-	if err := httphead.CheckFields(response.Header); err != nil {
+	if err := httphead.Check(response); err != nil {
 		_ = response.Body.Close()
 		client.CloseIdleConnections() // One without a body counts as idle already.
 		return nil, err
