Refuse invalid statuses in pkg/client

What operators saw: an answer with status 000, 001, 099, +20 or 101 counted as a success of the operation, and one with 600, 700 or 999 and the body of a refusal as that refusal. The other nodes were not asked.

Cause: the client took each status below 400 for success and each above for a refusal, as the node did before it judged statuses. An invalid status is now an error of that node, after which the next one is asked; operations are recognized by their identifier if repeated.

TestBrokenOff (an answer that ends in a part, with and without a length) passes before and after: the messages are JSON objects, of which no part is complete.

--- a/pkg/client/client.go
+++ b/pkg/client/client.go
@@ -269,7 +269,7 @@
 	if err != nil {
 		return nil, err
 	}
-	if err := httphead.Check(response); err != nil {
+	if err := checkHead(response); err != nil {
 		_ = response.Body.Close()
 		client.CloseIdleConnections() // One without a body counts as idle already.
 		return nil, err
@@ -281,6 +281,14 @@
 	return response, nil
 }
 
+// checkHead returns an error if the head is none of a final response.
+func checkHead(response *http.Response) error {
+	if !httphead.IsFinal(response.StatusCode) {
+		return fmt.Errorf("client: HTTP status %d, which is none of a final response", response.StatusCode)
+	}
+	return httphead.Check(response)
+}
+
 // decodeRefusal returns the refusal in an error response, or an error with the
 // HTTP status if there is none.
 func decodeRefusal(response *http.Response) error {
--- a/pkg/client/client_test.go
+++ b/pkg/client/client_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -36,6 +37,39 @@
 	}
 }
 
+// TestInvalidStatuses guards against an answer that is taken for a node's although its status
+// is none of a final response.
+func TestInvalidStatuses(t *testing.T) {
+	refusal := `{"code":"conflict"}`
+	for _, status := range []string{"000", "001", "099", "+20", "101", "600", "700", "999", "2000", "2x0", "-01"} {
+		for name, body := range map[string]string{"body": brokenStatus, "no body": "", "refusal": refusal} {
+			t.Run(status+", "+name, func(t *testing.T) {
+				testBrokenAnswer(t, fmt.Sprintf("HTTP/1.1 %s Status\r\nContent-Length: %d\r\n\r\n%s", status, len(body), body))
+			})
+		}
+	}
+}
+
+// TestBrokenOff guards against a part of an answer that is taken for the whole.
+func TestBrokenOff(t *testing.T) {
+	for name, part := range map[string]string{
+		"no length": "HTTP/1.1 200 OK\r\n\r\n" + brokenStatus[:10],
+		"length":    "HTTP/1.1 200 OK\r\nContent-Length: 15\r\n\r\n" + brokenStatus[:10],
+		"chunks":    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nf\r\n" + brokenStatus[:10],
+	} {
+		t.Run(name, func(t *testing.T) {
+			node := serve(t, func(c *standin.RawConn) {
+				_ = c.Write(part)
+				time.Sleep(5 * time.Millisecond)
+				c.Reset()
+			})
+			alone := client.Client{Nodes: []string{node}}
+			_, err := alone.Status(t.Context())
+			qt.Check(t, err, qt.ErrorIs, client.ErrUnreachable)
+		})
+	}
+}
+
 // testBrokenAnswer has the first of two nodes answer each request with the given bytes, and
 // checks that the client takes the answers of the second.
 func testBrokenAnswer(t *testing.T, broken string) {
