--- a/internal/entry/late_test.go
+++ b/internal/entry/late_test.go
@@ -87,6 +87,16 @@
 			[]lateOutcome{{never, nil}, {never, nil}},
 			verdict.MayHaveRun, "", 2, 1900 * time.Millisecond, 2300 * time.Millisecond,
 		},
+		"late answer with status 000": {
+			"/lookups",
+			[]lateOutcome{{900 * time.Millisecond, &call.Answer{Body: []byte("first")}}},
+			verdict.MayHaveRun, "", 1, 900 * time.Millisecond, 1300 * time.Millisecond,
+		},
+		"late answer with status 000, other host serves": {
+			"/twice",
+			[]lateOutcome{{400 * time.Millisecond, &call.Answer{Body: []byte("first")}}, {600 * time.Millisecond, served("second")}},
+			verdict.Ran, "second", 2, 800 * time.Millisecond, 1300 * time.Millisecond,
+		},
 		"late refusal": {
 			"/lookups",
 			[]lateOutcome{{900 * time.Millisecond, refusal(verdict.MayHaveRun, verdict.BackendBroken)}},
--- a/internal/owner/spoiled_test.go
+++ b/internal/owner/spoiled_test.go
@@ -57,6 +57,10 @@
 		"failure, no identifier":     response(500, "", "", "first's"),
 		"refusal":                    response(503, "first", refused, "first's"),
 		"refusal, no identifier":     response(503, "", refused, ""),
+		"status 000":                 "HTTP/1.1 000 None\r\nContent-Length: 0\r\n\r\n",
+		"status 000, own body":       "HTTP/1.1 000 None\r\nContent-Length: 5\r\n\r\nfirst",
+		"status 600, its identifier": "HTTP/1.1 600 None\r\n" + header.RequestID + ": second\r\nContent-Length: 0\r\n\r\n",
+		"blank in a name":            "HTTP/1.1 200 OK\r\n" + header.RequestID + ": second\r\nX Field: 1\r\nContent-Length: 0\r\n\r\n",
 		"three at once":              strings.Repeat(response(200, "first", "", "first's"), 3),
 	}
 	moments := map[string]func(c *standin.RawConn, copies string) error{
