Deliver a response that ended in order before a reset

What callers saw: a backend server answered a long upload early, ended its stream in order and then reset the connection.

Cause: the write of the upload fails, and net/http gives up the request and closes the connection before the response was read.

Ruled out: the check of how a stream ended (the kernel reports EPIPE here, which is no failure); waiting in the failed write until the response was read, which would need to know when.

httpconn.Conn discards the rest of a request once a write gets EPIPE: the other side has ended its stream in order and takes nothing more. Whether there is a response is found by reading. The connection takes no other request. A request of which nothing was taken fails as before.

--- a/internal/httpconn/httpconn.go
+++ b/internal/httpconn/httpconn.go
@@ -8,9 +8,11 @@
 package httpconn
 
 import (
+	"errors"
 	"net"
 	"sync"
 	"sync/atomic"
+	"syscall"
 )
 
 // Conn is a connection of a transport. It hides the other methods of the connection that it
@@ -20,7 +22,9 @@
 	state atomic.Uint32
 	// used is held by the current request, from acquire to release.
 	used sync.Mutex
-	// givenUp is set after an invalid response. It is guarded by used.
+	// ended is set once a write has found that the other side has ended its stream.
+	ended atomic.Bool
+	// givenUp is set after an invalid response, or if ended is. It is guarded by used.
 	givenUp bool
 	oldHead oldHead
 }
@@ -34,12 +38,20 @@
 // New returns a Conn that wraps conn.
 func New(conn net.Conn) *Conn { return &Conn{Conn: conn} }
 
-// Write implements net.Conn.
+// Write implements net.Conn. It discards the rest of a request if the other side has ended its
+// stream in order and takes nothing more, as a server may that responds early: to net/http a
+// failed write would be the end of the request, although the response can still be read.
 func (c *Conn) Write(p []byte) (int, error) {
-	if !c.state.CompareAndSwap(unwritten, written) && c.state.Load() == sealed {
+	first := c.state.CompareAndSwap(unwritten, written)
+	if !first && c.state.Load() == sealed {
 		return 0, net.ErrClosed
 	}
-	return c.Conn.Write(p)
+	n, err := c.Conn.Write(p)
+	if errors.Is(err, syscall.EPIPE) && (!first || n > 0) {
+		c.ended.Store(true)
+		return len(p), nil
+	}
+	return n, err
 }
 
 // Read implements net.Conn.
@@ -53,16 +65,24 @@
 // is released.
 func (c *Conn) acquire() {
 	c.used.Lock()
+	if c.ended.Load() {
+		c.giveUp()
+	}
 	c.state.CompareAndSwap(written, unwritten)
 	c.oldHead.expect()
 }
 
+// giveUp closes the connection, and prevents further writes.
+func (c *Conn) giveUp() {
+	c.givenUp = true
+	c.state.Store(sealed)
+	_ = c.Close()
+}
+
 // release ends the request that has acquired the connection.
 func (c *Conn) release(valid bool) {
 	if !valid {
-		c.givenUp = true
-		c.state.Store(sealed)
-		_ = c.Close()
+		c.giveUp()
 	}
 	c.used.Unlock()
 }
@@ -105,7 +125,7 @@
 func (u *Use) Seal() bool { return !u.written && u.conn != nil && u.conn.seal() }
 
 // GivenUp reports whether the connection had been given up when the request got it, because
-// of the response to an earlier request. Nothing is written to such a connection.
+// of an invalid response or because the other side had ended its stream. Nothing is written to such a connection.
 func (u *Use) GivenUp() bool { return u.conn != nil && u.conn.givenUp }
 
 // Release ends the use of connections. Unless the response was valid, or there was none, the
--- a/internal/httpconn/httpconn_test.go
+++ b/internal/httpconn/httpconn_test.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"net"
+	"syscall"
 	"testing"
 	"time"
 
@@ -89,3 +90,49 @@
 		})
 	}
 }
+
+// brokenPipe is a connection whose writes fail with EPIPE after a number of bytes.
+type brokenPipe struct {
+	net.Conn
+	left int
+}
+
+func (b *brokenPipe) Write(p []byte) (int, error) {
+	n := min(len(p), b.left)
+	b.left -= n
+	if n < len(p) {
+		return n, syscall.EPIPE
+	}
+	return n, nil
+}
+
+// TestOtherSideEnded checks that the rest of a request is discarded once the other side has
+// ended its stream, that a request of which nothing was written fails, and that no other request
+// uses the connection.
+func TestOtherSideEnded(t *testing.T) {
+	tests := map[string]struct {
+		taken, writes int
+		discards      bool
+	}{
+		"nothing taken":     {0, 1, false},
+		"part of the first": {1, 1, true},
+		"second write":      {2, 2, true},
+		"third write":       {4, 3, true},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := httpconn.New(&brokenPipe{newConn(t), test.taken})
+			var first, second httpconn.Use
+			first.Acquire(c)
+			var err error
+			for range test.writes {
+				_, err = c.Write([]byte("xy"))
+			}
+			qt.Check(t, err == nil, qt.Equals, test.discards)
+			first.Release(true)
+			second.Acquire(c)
+			qt.Check(t, second.GivenUp(), qt.Equals, test.discards)
+			second.Release(true)
+		})
+	}
+}
--- a/internal/owner/reset_test.go
+++ b/internal/owner/reset_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -85,3 +87,82 @@
 		})
 	}
 }
+
+// lateReadConn is a connection on which a Read returns only after a Write has failed: soon after
+// it, or once the connection is closed.
+type lateReadConn struct {
+	net.Conn
+	failed, closed    chan struct{}
+	noteFail, noteEnd func()
+}
+
+func newLateReadConn(conn net.Conn) net.Conn {
+	c := &lateReadConn{Conn: conn, failed: make(chan struct{}), closed: make(chan struct{})}
+	c.noteFail = sync.OnceFunc(func() { close(c.failed) })
+	c.noteEnd = sync.OnceFunc(func() { close(c.closed) })
+	return c
+}
+
+// Write implements net.Conn.
+func (c *lateReadConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	if err != nil {
+		c.noteFail()
+	}
+	return n, err
+}
+
+// Read implements net.Conn.
+func (c *lateReadConn) Read(p []byte) (int, error) {
+	select {
+	case <-c.failed:
+	case <-c.closed:
+	}
+	select {
+	case <-c.closed:
+	case <-time.After(50 * time.Millisecond):
+	}
+	return c.Conn.Read(p)
+}
+
+// Close implements net.Conn.
+func (c *lateReadConn) Close() error {
+	c.noteEnd()
+	return c.Conn.Close()
+}
+
+// TestResetAfterSoundAnswer guards against losing a response that ended in order, because the
+// write of the request's body fails before the response is read.
+func TestResetAfterSoundAnswer(t *testing.T) {
+	body := strings.Repeat("x", 300)
+	for name, head := range map[string]string{
+		"no length": headWithoutLength,
+		"length":    "HTTP/1.1 200 OK\r\nContent-Length: 300\r\n\r\n",
+		"no answer": "",
+	} {
+		t.Run(name, func(t *testing.T) {
+			o, _ := rawOwner(t, owner.Config{}, func(c *standin.RawConn) {
+				if c.ReadBytes(uploadStartBytes) != nil {
+					return
+				}
+				if head != "" {
+					_ = c.Write(head + body)
+				}
+				_ = c.CloseWrite()
+				c.Reset()
+			})
+			o.WrapConns(newLateReadConn)
+			for range 2 { // The second request gets another connection.
+				var answer call.Answer
+				o.Call(context.Background(), upload(), &answer)
+				if head == "" {
+					qt.Assert(t, answer.Err != nil, qt.IsTrue)
+					qt.Check(t, answer.Err.Verdict, qt.Equals, verdict.MayHaveRun)
+					continue
+				}
+				qt.Assert(t, answer.Err == nil, qt.IsTrue, qt.Commentf("%v", answer.Err))
+				qt.Check(t, string(answer.Body), qt.Equals, body)
+			}
+		})
+	}
+}
