Explain the states of connections, and wrap a comment

The TCP state that the kernel reports for a connection that it has given up gets a name, and comments that named the wrong thing are corrected. No change of behaviour.

--- a/internal/httpconn/httpconn.go
+++ b/internal/httpconn/httpconn.go
@@ -19,6 +19,7 @@
 // wraps, so that every write passes Write. A [Use] tells it where requests begin and end.
 type Conn struct {
 	net.Conn
+	// state is unwritten, written or sealed.
 	state atomic.Uint32
 	// used is held by the current request, from acquire to release.
 	used sync.Mutex
@@ -29,6 +30,8 @@
 	oldHead oldHead
 }
 
+// The states of a connection: nothing, or something, of the current request was written, or
+// nothing can be written any more.
 const (
 	unwritten = iota
 	written
@@ -125,7 +128,8 @@
 func (u *Use) Seal() bool { return !u.written && u.conn != nil && u.conn.seal() }
 
 // GivenUp reports whether the connection had been given up when the request got it, because
-// of an invalid response or because the other side had ended its stream. Nothing is written to such a connection.
+// of an invalid response or because the other side had ended its stream. Nothing is written
+// to such a connection.
 func (u *Use) GivenUp() bool { return u.conn != nil && u.conn.givenUp }
 
 // Release ends the use of connections. Unless the response was valid, or there was none, the
--- a/internal/owner/backend.go
+++ b/internal/owner/backend.go
@@ -109,8 +109,8 @@
 	}
 }
 
-// errConnGivenUp means that a request got a connection that had been given up, because the
-// response before on it was invalid. Nothing of the request was written.
+// errConnGivenUp means that a request got a connection that had been given up. Nothing of the
+// request was written; see [httpconn.Use.GivenUp].
 var errConnGivenUp = errors.New("owner: the connection had been given up")
 
 // tryRoundTrip is roundTrip once, which fails with errConnGivenUp if net/http chooses such a
--- a/internal/socket/ending.go
+++ b/internal/socket/ending.go
@@ -10,6 +10,10 @@
 	"golang.org/x/sys/unix"
 )
 
+// stateClosed is the state of a TCP connection that the kernel has given up. The kernel numbers
+// the states alike in TCP_INFO and for BPF, for which there are constants.
+const stateClosed = unix.BPF_TCP_CLOSE
+
 // ending is what a Conn knows of the way in which its connection ended. The zero value
 // knows of no failure.
 //
@@ -61,5 +65,5 @@
 	err := c.raw.Control(func(fd uintptr) {
 		info, optErr = unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
 	})
-	return err == nil && optErr == nil && info.State == unix.BPF_TCP_CLOSE
+	return err == nil && optErr == nil && info.State == stateClosed
 }
