Open a transport's connections and read TCP_INFO in one place each

Found on the last reading of the change: the owner and the store's client each had a function that dials and wraps the connection, and their tests each one that wraps it again; a second function asked for TCP_INFO beside the one that internal/socket already had.

httpconn.Dial and standin.WrapConns serve both now, and the state of a connection is read with the rest (sending). No change of behaviour; the tests keep their assertions, and without the mend of the reset TestResetDuringUpload and TestServiceResetDuringUpload still fail.

--- a/internal/httpconn/httpconn.go
+++ b/internal/httpconn/httpconn.go
@@ -8,6 +8,7 @@
 package httpconn
 
 import (
+	"context"
 	"errors"
 	"net"
 	"sync"
@@ -41,6 +42,20 @@
 // New returns a Conn that wraps conn.
 func New(conn net.Conn) *Conn { return &Conn{Conn: conn} }
 
+// DialFunc opens a connection, as [net/http.Transport.DialContext] does.
+type DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
+
+// Dial returns a function that opens connections with dial and wraps them in a Conn.
+func Dial(dial DialFunc) DialFunc {
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		conn, err := dial(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		return New(conn), nil
+	}
+}
+
 // Write implements net.Conn. It discards the rest of a request if the other side has ended its
 // stream in order and takes nothing more, as a server may that responds early: to net/http a
 // failed write would be the end of the request, although the response can still be read.
--- a/internal/owner/backend.go
+++ b/internal/owner/backend.go
@@ -4,7 +4,6 @@
 	"cmp"
 	"context"
 	"errors"
-	"net"
 	"net/http"
 	"net/http/httptrace"
 	"sync/atomic"
@@ -45,7 +44,7 @@
 		startMs:      startMs,
 		echoes:       new(atomic.Bool),
 		transport: &http.Transport{
-			DialContext:         dialBackend,
+			DialContext:         httpconn.Dial(socket.Dialer(connectTimeout).DialContext),
 			MaxConnsPerHost:     a.Connections,
 			MaxIdleConnsPerHost: max(a.Slots, 1),
 			IdleConnTimeout:     cmp.Or(config.IdleTimeout, connectionIdleTimeout),
@@ -56,15 +55,6 @@
 	}
 }
 
-// dialBackend opens a connection to a backend server.
-func dialBackend(ctx context.Context, network, address string) (net.Conn, error) {
-	conn, err := socket.Dialer(connectTimeout).DialContext(ctx, network, address)
-	if err != nil {
-		return nil, err
-	}
-	return httpconn.New(conn), nil
-}
-
 // errConnectionRefused marks the error of a call whose connection was refused: no
 // process is listening at the backend server's address.
 var errConnectionRefused = errors.New("owner: the backend server refused the connection")
--- a/internal/owner/reset_test.go
+++ b/internal/owner/reset_test.go
@@ -45,7 +45,7 @@
 		_ = c.Write(headWithoutLength + strings.Repeat("x", 300))
 		c.Reset()
 	})
-	o.WrapConns(standin.NewFailureConn)
+	standin.WrapConns(o.Transport(), standin.NewFailureConn)
 	var answer call.Answer
 	o.Call(context.Background(), upload(), &answer)
 	qt.Assert(t, answer.Err != nil, qt.IsTrue, qt.Commentf("status %d with %d bytes", answer.Status, len(answer.Body)))
@@ -151,7 +151,7 @@
 				_ = c.CloseWrite()
 				c.Reset()
 			})
-			o.WrapConns(newLateReadConn)
+			standin.WrapConns(o.Transport(), newLateReadConn)
 			for range 2 { // The second request gets another connection.
 				var answer call.Answer
 				o.Call(context.Background(), upload(), &answer)
--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"net"
 	"net/http"
 	"strings"
 	"sync"
@@ -80,7 +79,7 @@
 
 func newTransport(timeout time.Duration) *http.Transport {
 	return &http.Transport{
-		DialContext:         dialWith(socket.Dialer(timeout)),
+		DialContext:         httpconn.Dial(socket.Dialer(timeout).DialContext),
 		MaxConnsPerHost:     maxConns,
 		MaxIdleConnsPerHost: maxConns,
 		IdleConnTimeout:     idleTimeout,
@@ -90,17 +89,6 @@
 	}
 }
 
-// dialWith returns a function that opens connections with the dialer.
-func dialWith(dialer *socket.TCPDialer) func(ctx context.Context, network, address string) (net.Conn, error) {
-	return func(ctx context.Context, network, address string) (net.Conn, error) {
-		conn, err := dialer.DialContext(ctx, network, address)
-		if err != nil {
-			return nil, err
-		}
-		return httpconn.New(conn), nil
-	}
-}
-
 // stopAtRedirect makes the HTTP client return a redirect as the response. Following
 // it would send a write twice.
 func stopAtRedirect(*http.Request, []*http.Request) error {
--- a/internal/platform/reset_test.go
+++ b/internal/platform/reset_test.go
@@ -35,7 +35,7 @@
 			classify := func(int, []byte, bool) error { return nil }
 			service := platform.NewCustomService("store", server.Address(), 5*time.Second, classify)
 			defer service.Close()
-			service.WrapConns(standin.NewFailureConn)
+			standin.WrapConns(service.Transport(), standin.NewFailureConn)
 			_, _, err = service.Do(context.Background(), platform.ServiceRequest{
 				Method: http.MethodPost, Path: "/", Body: make([]byte, uploadBytes), Write: test.write,
 			})
--- a/internal/socket/ending.go
+++ b/internal/socket/ending.go
@@ -6,14 +6,8 @@
 	"sync"
 	"sync/atomic"
 	"syscall"
-
-	"golang.org/x/sys/unix"
 )
 
-// stateClosed is the state of a TCP connection that the kernel has given up. The kernel numbers
-// the states alike in TCP_INFO and for BPF, for which there are constants.
-const stateClosed = unix.BPF_TCP_CLOSE
-
 // ending is what a Conn knows of the way in which its connection ended. The zero value
 // knows of no failure.
 //
@@ -46,7 +40,7 @@
 // endOfStream returns the error of a Read to which the kernel has reported the end of the
 // stream: the failure of the connection or, if there was none, io.EOF.
 func (c *Conn) endOfStream() error {
-	if c.isGone() {
+	if s, err := c.sending(); err == nil && s.closed {
 		// The failure may be that of a Write which has not returned yet. It does not
 		// block, since the kernel has given the connection up.
 		c.ending.awaitWrite()
@@ -56,14 +50,3 @@
 	}
 	return io.EOF
 }
-
-// isGone reports whether the kernel has given the connection up, because it failed or
-// because both hosts have ended their streams.
-func (c *Conn) isGone() bool {
-	var info *unix.TCPInfo
-	var optErr error
-	err := c.raw.Control(func(fd uintptr) {
-		info, optErr = unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
-	})
-	return err == nil && optErr == nil && info.State == stateClosed
-}
--- a/internal/socket/sending.go
+++ b/internal/socket/sending.go
@@ -16,8 +16,15 @@
 	minUnanswered = 2
 )
 
+// stateClosed is the state of a TCP connection that the kernel has given up. The kernel numbers
+// the states alike in TCP_INFO and for BPF, for which there are constants.
+const stateClosed = unix.BPF_TCP_CLOSE
+
 // sending is the state of the data that was written to a connection.
 type sending struct {
+	// closed is set if the kernel has given the connection up, because it failed or because
+	// both hosts have ended their streams.
+	closed bool
 	// unsentBytes were written but not sent yet, and unackedSegments sent but not
 	// acknowledged. ackedBytes is the total of those acknowledged so far.
 	unsentBytes, unackedSegments uint32
@@ -36,6 +43,7 @@
 		return sending{}, err
 	}
 	return sending{
+		closed:          info.State == stateClosed,
 		unsentBytes:     info.Notsent_bytes,
 		unackedSegments: info.Unacked,
 		ackedBytes:      info.Bytes_acked,
