Allocate nothing in a read or write that does not fail

Cause, in part: ending.observe let its error escape, so that each Read and Write of a socket.Conn allocated. It now does so only for an error.

--- a/internal/socket/ending.go
+++ b/internal/socket/ending.go
@@ -25,6 +25,12 @@
 // connection. EPIPE is none: the connection failed after the other host had ended its
 // stream, or its failure was reported before.
 func (e *ending) observe(err error) {
+	if err != nil { // Else no memory is allocated.
+		e.keepFailure(err)
+	}
+}
+
+func (e *ending) keepFailure(err error) {
 	var errno syscall.Errno
 	if errors.As(err, &errno) && errno != syscall.EPIPE {
 		e.failure.CompareAndSwap(nil, &err)
