Call nothing of a connection under the lock of the client limits

Cause: Response.Continue and Budget.BeginResponse called extend and abort, which set a write deadline and so wait for the lock of a pipelined connection, under the lock of the budget. A pipelined connection that closes holds its own lock and calls Client.Leave, which waits for the budget. All connections of the node wait for that lock.

Ruled out: a wait for the calls in progress (none was left) and for the listeners' end.

Change: the lock of the budget is the last one that is taken, and nothing is called under it: stated at Budget.mu.

--- a/internal/clientlimit/budget.go
+++ b/internal/clientlimit/budget.go
@@ -74,6 +74,9 @@
 	inUse  [partCount]atomic.Int64
 	peak   atomic.Int64
 
+	// mu guards the fields below. All connections of the node wait for it, so that nothing
+	// that may wait for a connection is done under it: no callback is called, and no
+	// method of a connection. Other locks may be held when it is locked.
 	mu sync.Mutex
 	// clients holds the *Client of each open connection. The client whose state
 	// changed least recently is first.
