Call the server's hook and Close without the lock of a pipelined connection

A pipelined connection told the server's hook of its states, and closed the connection within, under its own lock. Any lock that the hook takes was so taken under the connection's, and a hook that waits held up the writes, deadlines and reads of all requests on the connection.

Change: a change of a connection notes under the lock what is to be called, and calls it when the lock is free. A second lock keeps the changes, and so the states of which the hook is told, in order: when ConnState returns, the hook has returned, as net/http has it. Methods that only set deadlines of the inner connection stay under the lock, since they must not affect the next turn; they take no lock of this program.

--- a/internal/pipeline/conn.go
+++ b/internal/pipeline/conn.go
@@ -37,8 +37,16 @@
 	// refused.
 	refusalCounted bool
 
+	// changes serializes the changes of which the server's hook is told, so that it is told in
+	// their order. It is locked before mu.
+	changes sync.Mutex
+	// mu guards the fields below. The server's hook and Close of the inner connection may wait
+	// for other connections, and so are called without it: see change. Methods of the inner
+	// connection that are called under it only set deadlines.
 	mu   sync.Mutex
 	cond sync.Cond
+	// pending is what the current change has to do once mu is unlocked.
+	pending pendingCalls
 	// queue holds the turns of the requests that are not answered, in order.
 	queue       []*turn
 	inlineQueue [1]*turn
@@ -63,6 +71,20 @@
 	heldBytes, partialBytes int
 }
 
+// pendingCalls are calls that a change of a connection makes without its lock.
+type pendingCalls struct {
+	// states are those of which the server's hook is told; there are at most two.
+	states [2]http.ConnState
+	count  int
+	// end is set if the inner connection is closed.
+	end bool
+}
+
+func (p *pendingCalls) tell(state http.ConnState) {
+	p.states[p.count] = state
+	p.count++
+}
+
 func newConn(l *Listener, inner net.Conn) *conn {
 	c := &conn{Conn: inner, listener: l}
 	c.cond.L = &c.mu
@@ -75,10 +97,45 @@
 // be answered.
 func (c *conn) isTurn(t *turn) bool { return len(c.queue) == 0 || c.queue[0] == t }
 
+// change calls f, which changes the state of the requests, under the lock of the connection.
+// Then it tells the server's hook of the change and closes the inner connection if f has
+// called end. When it returns, the hook has returned.
+func (c *conn) change(f func()) error {
+	c.changes.Lock()
+	defer c.changes.Unlock()
+	c.mu.Lock()
+	f()
+	calls := c.pending
+	c.pending = pendingCalls{}
+	c.mu.Unlock()
+	for _, state := range calls.states[:calls.count] {
+		c.listener.tellState(c.Conn, state)
+	}
+	if !calls.end {
+		return nil
+	}
+	return c.closeInner()
+}
+
+// closeInner closes the inner connection. The responses that were written still reach the
+// client.
+func (c *conn) closeInner() error {
+	c.mu.Lock()
+	pipelined := c.pipelined
+	c.mu.Unlock()
+	if !pipelined {
+		return c.Conn.Close()
+	}
+	c.listener.closeLater(c.linger)
+	return nil
+}
+
 // setState follows the server's handling of the requests that it reads itself.
 func (c *conn) setState(state http.ConnState) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
+	_ = c.change(func() { c.applyState(state) })
+}
+
+func (c *conn) applyState(state http.ConnState) {
 	switch state {
 	case http.StateActive:
 		c.active = true
@@ -86,7 +143,7 @@
 		c.own.dropped = c.closing || c.closed || c.ended
 		if !c.own.dropped {
 			if len(c.queue) == 0 {
-				c.listener.tellState(c.Conn, state)
+				c.pending.tell(state)
 			}
 			c.queue = append(c.queue, &c.own)
 		}
@@ -96,13 +153,13 @@
 		c.own = turn{conn: c}
 	case http.StateHijacked:
 		c.frame.lose()
-		c.listener.tellState(c.Conn, state)
+		c.pending.tell(state)
 	case http.StateNew:
-		c.listener.tellState(c.Conn, state)
+		c.pending.tell(state)
 	}
 }
 
-// endTurn removes the turn, whose response is complete, from the queue.
+// endTurn removes the turn, whose response is complete, from the queue. It is part of a change.
 func (c *conn) endTurn(t *turn) {
 	if t.dropped || len(c.queue) == 0 || c.queue[0] != t {
 		return
@@ -112,15 +169,15 @@
 	c.queue = c.queue[:len(c.queue)-1]
 	c.cond.Broadcast()
 	if len(c.queue) == 0 {
-		c.listener.tellState(c.Conn, http.StateIdle)
+		c.pending.tell(http.StateIdle)
 	}
 	switch {
 	case len(c.queue) > 0:
 		if c.queue[0].closing {
-			_ = c.end()
+			c.end()
 		}
 	case c.closed:
-		_ = c.end()
+		c.end()
 	case c.waiting && c.readTimeout > 0:
 		// The connection is idle from now on, not from the server's last response.
 		_ = c.Conn.SetReadDeadline(time.Now().Add(c.readTimeout))
@@ -128,7 +185,7 @@
 }
 
 // closeAfter closes the connection after the turn and drops the requests behind it, which
-// the client sends again.
+// the client sends again. It is part of a change.
 func (c *conn) closeAfter(t *turn) {
 	at := slices.Index(c.queue, t)
 	if at < 0 || t.closing || c.ended {
@@ -146,7 +203,7 @@
 		_ = c.Conn.SetReadDeadline(time.Unix(1, 0)) // Ends a Read in progress.
 	}
 	if at == 0 {
-		_ = c.end()
+		c.end()
 	}
 }
 
@@ -156,21 +213,17 @@
 	return c.closed || c.ended || c.closing && (!c.active || c.own.dropped || c.own.closing)
 }
 
-// end closes the connection. The responses that were written still reach the client.
-func (c *conn) end() error {
+// end makes the current change close the connection.
+func (c *conn) end() {
 	if c.ended {
-		return net.ErrClosed
+		return
 	}
 	c.ended = true
 	c.listener.release(c.heldBytes + c.partialBytes)
 	c.heldBytes, c.partialBytes = 0, 0
 	c.cond.Broadcast()
-	c.listener.tellState(c.Conn, http.StateClosed)
-	if !c.pipelined {
-		return c.Conn.Close()
-	}
-	c.listener.closeLater(c.linger)
-	return nil
+	c.pending.tell(http.StateClosed)
+	c.pending.end = true
 }
 
 // linger closes the connection once the client has, or after lingerTimeout.
@@ -185,24 +238,34 @@
 // Close implements net.Conn. Requests that were read ahead and have their turn before are
 // still answered, those behind a response that closes the connection are dropped.
 func (c *conn) Close() error {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.closed {
+	again := false
+	err := c.change(func() {
+		again = c.closed
+		c.closed = true
+		if !again {
+			c.closeInTurn()
+		}
+	})
+	if again {
 		return net.ErrClosed
 	}
-	c.closed = true
+	return err
+}
+
+// closeInTurn closes the connection after the requests that are still answered. It is part
+// of a change.
+func (c *conn) closeInTurn() {
 	switch {
 	case c.ended:
 	case c.active && !c.own.dropped:
 		c.closeAfter(&c.own)
 	case c.closing:
 	case len(c.queue) == 0:
-		return c.end()
+		c.end()
 	default:
 		c.cond.Broadcast()
 		_ = c.Conn.SetReadDeadline(time.Unix(1, 0)) // Ends a Read in progress.
 	}
-	return nil
 }
 
 // CloseWrite tells the client that nothing follows, like that of a TCP connection.
--- a/internal/pipeline/stream.go
+++ b/internal/pipeline/stream.go
@@ -53,22 +53,31 @@
 
 // complete ends the turn after a whole response.
 func (s *stream) complete() {
-	c := s.conn
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	s.completed = true
-	c.endTurn(&s.turn)
+	_ = s.conn.change(func() {
+		s.completed = true
+		s.conn.endTurn(&s.turn)
+	})
 }
 
 // Close implements net.Conn. Without a whole response that leaves the connection open, the
 // connection closes in this request's turn.
 func (s *stream) Close() error {
-	c := s.conn
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if s.closed {
+	again := false
+	_ = s.conn.change(func() {
+		again = s.closed
+		if !again {
+			s.close()
+		}
+	})
+	if again {
 		return net.ErrClosed
 	}
+	return nil
+}
+
+// close is the change of Close.
+func (s *stream) close() {
+	c := s.conn
 	s.closed = true
 	if s.timer != nil {
 		s.timer.Stop()
@@ -79,7 +88,6 @@
 		c.closeAfter(&s.turn)
 	}
 	c.cond.Broadcast()
-	return nil
 }
 
 // CloseWrite tells the client that nothing follows, like that of a TCP connection. The
