Forget the least recently used departure, not all of them

Cause: the owner cleared its list of departed instances when it held 64. An instance that had departed, and whose late heartbeats still arrived, was announced again after the 64th departure on its host; callers got no answer from it, or one that says that it leaves.

Change: departures keeps the same number of entries, and forgets the one that was added or asked for least recently. Weighed: forgetting by age needs a longest delay of heartbeats, and holds more under a crowd of departures.

Test: TestDeparturesForgetUnused. The same steps failed on the code before, at the 64th departure (a heartbeat of the departed instance was taken).

--- a/internal/owner/heartbeat.go
+++ b/internal/owner/heartbeat.go
@@ -10,9 +10,6 @@
 	"curranthold.example/curranthold/pkg/object"
 )
 
-// maxDeparted bounds the size of Owner.departed, which is cleared when it is full.
-const maxDeparted = 64
-
 // ErrStaleHeartbeat is returned for a heartbeat that is no newer than what the owner
 // already knows, or whose instance is leaving or departed.
 var ErrStaleHeartbeat = errors.New("owner: stale heartbeat")
@@ -70,7 +67,7 @@
 func (o *Owner) acceptHeartbeat(next instance) bool {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	if departedMs, ok := o.departed[next.incarnation]; ok && next.startMs <= departedMs {
+	if o.departures.contains(next.incarnation, next.startMs) {
 		return false
 	}
 	latest := o.instance
@@ -105,7 +102,7 @@
 func (o *Owner) Announced() bool {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	return o.instance != (instance{}) || len(o.departed) > 0 || o.backend != nil
+	return o.instance != (instance{}) || o.departures.uses > 0 || o.backend != nil
 }
 
 // MarkDeparted records that the instance with that incarnation has departed: its
@@ -116,9 +113,6 @@
 	o.announceMu.Lock()
 	defer o.announceMu.Unlock()
 	o.mu.Lock()
-	if o.departed == nil || len(o.departed) >= maxDeparted {
-		o.departed = make(map[string]int64)
-	}
 	latest := o.instance
 	isLatest := latest.incarnation == incarnation && (startMs == 0 || latest.startMs <= startMs)
 	switch {
@@ -127,7 +121,7 @@
 	case startMs == 0:
 		startMs = time.Now().UnixMilli()
 	}
-	o.departed[incarnation] = max(o.departed[incarnation], startMs)
+	o.departures.add(incarnation, startMs)
 	b := o.backend
 	o.mu.Unlock()
 	if b != nil && b.announcement.Incarnation == incarnation && b.startMs <= startMs {
--- a/internal/owner/heartbeat_test.go
+++ b/internal/owner/heartbeat_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strconv"
 	"testing"
 	"time"
 
@@ -71,6 +72,18 @@
 	}
 }
 
+// TestDeparturesForgetUnused guards against a bound on the departures known at which one is
+// forgotten whose late heartbeats still arrive.
+func TestDeparturesForgetUnused(t *testing.T) {
+	o := newTestOwner(t)
+	o.MarkDeparted("sends", 1)
+	for i := range 10 * maxDepartures {
+		o.MarkDeparted("other-"+strconv.Itoa(i), 1)
+		qt.Assert(t, o.HandleHeartbeat(heartbeat("sends", 1, uint64(i), false)), qt.Equals, ErrStaleHeartbeat)
+	}
+	qt.Check(t, len(o.departures.byIncarnation), qt.Equals, maxDepartures)
+}
+
 // TestAnnounceProvisionally checks that the first heartbeat replaces a provisional
 // announcement, and that there can be none after a heartbeat.
 func TestAnnounceProvisionally(t *testing.T) {
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -114,9 +114,8 @@
 	lastAnnounced time.Time
 	// instance is the instance of the latest heartbeat that was not stale.
 	instance instance
-	// departed maps the incarnations passed to MarkDeparted to the start time, in
-	// Unix milliseconds, of the latest departed instance.
-	departed map[string]int64
+	// departures holds the instances passed to MarkDeparted.
+	departures departures
 }
 
 // New returns an owner without a backend server.
