Confirm an instance before the first announcement by its heartbeat

Cause: what a node knows of departures is in the memory of its process. After a restart the first heartbeat was believed as it was, also one from before the departure.

Change: an instance that this process has not seen gets calls only once a health check of its own has shown that it lives and does not leave. One that says so, or another one that answers, ends the matter. One that answers but is not healthy is believed if its heartbeats go on for a second, one that does not answer if they go on for 5 s: health answers may be false. A backend server that was announced by a health check already is not checked again. Weighed, and not done: a record of departures in the platform's store (docs/design/departures.md).

Same cause, related paths: a backend server announced provisionally that says in a response that it leaves was announced again by its next heartbeat; a late heartbeat of an earlier instance that was draining withdrew the one announced provisionally.

--- a/internal/node/adapter.go
+++ b/internal/node/adapter.go
@@ -26,8 +26,9 @@
 	// Heartbeats returns an HTTP handler that decodes the heartbeats of the backend
 	// server and passes them to the receiver.
 	Heartbeats func(HeartbeatReceiver) http.Handler
-	// Health makes a health check of the backend server at the address.
-	Health func(ctx context.Context, address, path string) (Health, error)
+	// Health makes a health check of the backend server at the address. A response that is
+	// no success may come with an error.
+	Health func(ctx context.Context, address, path string) (owner.Health, error)
 	// Readiness returns the handler of readiness checks, which calls ready to
 	// learn whether the node accepts calls.
 	Readiness func(ready func() bool) http.Handler
--- a/internal/node/health_check.go
+++ b/internal/node/health_check.go
@@ -23,15 +23,6 @@
 // errUndeclared means that the backend server's service is not declared.
 var errUndeclared = errors.New("node: the service is not declared")
 
-// Health is a backend server's response to a health check.
-type Health struct {
-	// Incarnation identifies the backend server since its last start. Requests to
-	// the backend server carry it, so that another incarnation refuses them.
-	Incarnation string
-	// ColdFor is the remaining time of the backend server's cold start.
-	ColdFor time.Duration
-}
-
 // checkBackend makes health checks of the backend server until one succeeds, a
 // heartbeat arrives or healthCheckDuration has passed. A node that restarts beside a
 // running backend server thus needn't wait for the next heartbeat. A health check
@@ -59,8 +50,10 @@
 	if slots == 0 || !known {
 		return false
 	}
+	ctx, cancel := context.WithTimeout(ctx, healthCheckTimeout)
+	defer cancel()
 	health, err := n.checkHealth(ctx, service)
-	if err != nil {
+	if err != nil || health.Leaving {
 		return false // Retried, unless a heartbeat arrives first.
 	}
 	announced := n.owner.AnnounceProvisionally(owner.Heartbeat{
@@ -91,12 +84,10 @@
 }
 
 // checkHealth makes a health check of the backend server on this host.
-func (n *Node) checkHealth(ctx context.Context, service string) (Health, error) {
+func (n *Node) checkHealth(ctx context.Context, service string) (owner.Health, error) {
 	spec, declared := n.configuration.Snapshot().Services()[service]
 	if !declared {
-		return Health{}, errUndeclared
+		return owner.Health{}, errUndeclared
 	}
-	ctx, cancel := context.WithTimeout(ctx, healthCheckTimeout)
-	defer cancel()
 	return n.adapter.Health(ctx, n.settings.ServerAddress, spec.HealthPath)
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -203,6 +203,9 @@
 		ColdRateFactor:  1 + float64(n.settings.Limits.ColdOveragePercent)/100/overageDivisor,
 		IdleTimeout:     n.settings.IdleTimeout(),
 	}
+	if n.adapter.external() {
+		ownerConfig.CheckHealth = n.checkHealth
+	}
 	if n.rollout != nil {
 		ownerConfig.Rollout = n.versions
 	}
@@ -263,6 +266,7 @@
 	if n.adapter.external() {
 		n.wg.Go(func() { _ = n.tally.Run(control) })
 		n.serve(n.listeners.ready, n.adapter.Readiness(n.acceptsCalls), readyConnections)
+		n.wg.Go(func() { n.owner.Run(control) })
 		n.wg.Go(func() { n.checkBackend(control) })
 	} else {
 		n.wg.Go(func() { _ = n.quota.Run(control) })
--- a/internal/owner/departure.go
+++ b/internal/owner/departure.go
@@ -3,7 +3,7 @@
 // maxDepartures bounds the number of incarnations that departures holds.
 const maxDepartures = 64
 
-// departures holds the instances that have departed. If
+// departures holds the instances that have said that they leave, or that have departed. If
 // there are too many, it forgets the one that was used least recently. The zero value is
 // empty.
 type departures struct {
--- a/internal/owner/event.go
+++ b/internal/owner/event.go
@@ -18,6 +18,8 @@
 		"The backend server on this host sent a response whose head or trailer is not one of HTTP/1: a name with a blank, a control byte in the reason, another version, or HTTP/1.0 with a transfer coding. It is not passed on, and the request may have run. Logged at most once a second.")
 	eventResponseBroken = event.New(805, "backend-response-broken", event.Warn,
 		"The backend server on this host began a response that broke off, could not be read as one of HTTP, or lacks the backend server's signature. It is not passed on, and the request may have run. Logged at most once a second.")
+	eventUnconfirmed = event.New(806, "heartbeat-unconfirmed", event.Warn,
+		"A heartbeat came from an instance of the backend server that this process did not know, and its health check showed that the instance is leaving or that another one answers, or nothing showed that it lives. It gets no calls. Usual for a late heartbeat after a restart of the node.")
 )
 
 var (
@@ -27,5 +29,7 @@
 	metricWait    = metrics.Histogram("admission-wait-us")
 	// metricRefusedRollout counts the calls that rolloutStage refuses.
 	metricRefusedRollout = metrics.Int("refused-rollout-requests")
-	metricBackend        = metrics.Histogram("backend-latency-us")
+	// metricUnconfirmed counts the instances that were not confirmed.
+	metricUnconfirmed = metrics.Int("unconfirmed-instances")
+	metricBackend     = metrics.Histogram("backend-latency-us")
 )
--- a/internal/owner/heartbeat.go
+++ b/internal/owner/heartbeat.go
@@ -40,49 +40,113 @@
 	incarnation string
 	startMs     int64
 	sequence    uint64
-	// leaving is set once the instance has announced that it is leaving.
-	leaving bool
 }
 
+// same reports whether both are the same run of a process.
+func (i instance) same(other instance) bool {
+	return i.incarnation == other.incarnation && i.startMs == other.startMs
+}
+
+// standing says how the owner treats a heartbeat.
+type standing int
+
+const (
+	// stale heartbeats change nothing.
+	stale standing = iota
+	// current heartbeats are believed.
+	current
+	// unknown heartbeats are those of an instance that has to be confirmed.
+	unknown
+)
+
 // HandleHeartbeat handles a heartbeat. For a stale heartbeat it changes nothing and
-// returns ErrStaleHeartbeat.
+// returns ErrStaleHeartbeat. If Config.CheckHealth is set, an instance that is new to this
+// owner gets no calls before Run has confirmed it.
 func (o *Owner) HandleHeartbeat(h Heartbeat) error {
 	o.announceMu.Lock()
 	defer o.announceMu.Unlock()
-	update := instance{incarnation: h.Announcement.Incarnation, startMs: h.StartMs, sequence: h.Sequence, leaving: h.Leaving}
-	if !o.acceptHeartbeat(update) {
+	switch o.takeHeartbeat(h) {
+	case stale:
 		return ErrStaleHeartbeat
+	case current:
+		if h.Leaving {
+			o.withdrawEarlier(h)
+			return nil
+		}
+		o.announce(h.Announcement, h.StartMs, h.ColdFor)
 	}
-	if h.Leaving {
-		o.Withdraw(h.Announcement.Service)
-		return nil
-	}
-	o.announce(h.Announcement, h.StartMs, h.ColdFor)
 	return nil
 }
 
-// acceptHeartbeat sets the current instance from a heartbeat and returns true, unless
-// the heartbeat is stale: it is no newer than the last one, or its instance is leaving
-// or departed.
-func (o *Owner) acceptHeartbeat(next instance) bool {
+// withdrawEarlier withdraws the backend server when an instance of it is leaving. One that
+// was announced provisionally stays if it is another instance, which may have started later.
+func (o *Owner) withdrawEarlier(leaving Heartbeat) {
+	b := o.current()
+	if b != nil && b.startMs == 0 && leaving.StartMs != 0 && b.announcement.Incarnation != leaving.Announcement.Incarnation {
+		return
+	}
+	o.Withdraw(leaving.Announcement.Service)
+}
+
+// takeHeartbeat makes the instance of a heartbeat the current or the unconfirmed one, unless
+// the heartbeat is stale.
+func (o *Owner) takeHeartbeat(h Heartbeat) standing {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	if o.departures.contains(next.incarnation, next.startMs) {
-		return false
+	next := instance{incarnation: h.Announcement.Incarnation, startMs: h.StartMs, sequence: h.Sequence}
+	found := o.standing(next, h.Leaving)
+	switch found {
+	case current:
+		o.instance = next
+		if u := o.unconfirmed; u != nil && u.instance.startMs <= next.startMs {
+			o.unconfirmed = nil
+		}
+		if h.Leaving {
+			o.departures.add(next.incarnation, next.startMs)
+		}
+	case unknown:
+		o.hold(h, next)
 	}
+	return found
+}
+
+// standing returns how a heartbeat is treated. It is stale if it is no newer than the last
+// one of its instance, if the instance is leaving or departed, or if it started before
+// one that is known.
+func (o *Owner) standing(next instance, leaving bool) standing {
 	latest := o.instance
-	if next.startMs < latest.startMs {
-		return false
+	if o.departures.contains(next.incarnation, next.startMs) {
+		return stale
 	}
-	if next.incarnation != latest.incarnation || next.startMs != latest.startMs {
-		o.instance = next
-		return true
+	for _, known := range []*instance{&latest, o.unconfirmedInstance()} {
+		if known != nil && known.same(next) && next.sequence <= known.sequence {
+			return stale
+		}
 	}
-	if next.sequence <= latest.sequence || latest.leaving {
-		return false
+	switch {
+	case next.startMs < latest.startMs:
+		return stale
+	case o.config.CheckHealth == nil, leaving, latest.same(next) && latest != instance{}, o.isProvisional(next):
+		return current
+	case o.unconfirmed != nil && next.startMs < o.unconfirmed.instance.startMs:
+		return stale
 	}
-	o.instance = next
-	return true
+	return unknown
+}
+
+// unconfirmedInstance returns the instance that is not confirmed yet, or nil.
+func (o *Owner) unconfirmedInstance() *instance {
+	if o.unconfirmed == nil {
+		return nil
+	}
+	return &o.unconfirmed.instance
+}
+
+// isProvisional reports whether the instance was announced provisionally, and so has passed
+// a health check.
+func (o *Owner) isProvisional(next instance) bool {
+	b := o.backend
+	return b != nil && b.startMs == 0 && b.announcement.Incarnation == next.incarnation
 }
 
 // AnnounceProvisionally uses the announcement in h until the first heartbeat arrives.
@@ -97,12 +161,12 @@
 	return true
 }
 
-// Announced reports whether the owner has handled a heartbeat, has a backend server,
-// or was told of a departed one.
+// Announced reports whether the owner has received a heartbeat, has a backend server,
+// or was told of one that is leaving or has departed.
 func (o *Owner) Announced() bool {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	return o.instance != (instance{}) || o.departures.uses > 0 || o.backend != nil
+	return o.instance != (instance{}) || o.unconfirmed != nil || o.departures.uses > 0 || o.backend != nil
 }
 
 // MarkDeparted records that the instance with that incarnation has departed: its
@@ -112,21 +176,44 @@
 func (o *Owner) MarkDeparted(incarnation string, startMs int64) {
 	o.announceMu.Lock()
 	defer o.announceMu.Unlock()
-	o.mu.Lock()
-	latest := o.instance
-	isLatest := latest.incarnation == incarnation && (startMs == 0 || latest.startMs <= startMs)
-	switch {
-	case isLatest:
-		startMs = max(startMs, latest.startMs)
-	case startMs == 0:
-		startMs = time.Now().UnixMilli()
+	if b := o.depart(incarnation, startMs); b != nil {
+		o.Withdraw(b.announcement.Service)
 	}
+}
+
+// depart records the departure, and returns the backend server if it is the one that has
+// departed.
+func (o *Owner) depart(incarnation string, startMs int64) *backend {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	startMs = o.departedStart(incarnation, startMs)
 	o.departures.add(incarnation, startMs)
+	if u := o.unconfirmed; u != nil && u.instance.incarnation == incarnation && u.instance.startMs <= startMs {
+		o.unconfirmed = nil
+	}
 	b := o.backend
-	o.mu.Unlock()
-	if b != nil && b.announcement.Incarnation == incarnation && b.startMs <= startMs {
-		o.Withdraw(b.announcement.Service)
+	if b == nil || b.announcement.Incarnation != incarnation || b.startMs > startMs {
+		return nil
+	}
+	return b
+}
+
+// departedStart returns the start time up to which the instances of an incarnation have
+// departed, given the one that was stated, 0 if none.
+func (o *Owner) departedStart(incarnation string, startMs int64) int64 {
+	stated := startMs != 0
+	found := false
+	for _, known := range []*instance{&o.instance, o.unconfirmedInstance()} {
+		if known == nil || known.incarnation != incarnation || (stated && known.startMs > startMs) {
+			continue
+		}
+		found = true
+		startMs = max(startMs, known.startMs)
+	}
+	if !stated && !found {
+		return time.Now().UnixMilli()
 	}
+	return startMs
 }
 
 // announce makes the announced backend server the current one and passes its capacity
--- a/internal/owner/notice.go
+++ b/internal/owner/notice.go
@@ -61,14 +61,14 @@
 	o.announceMu.Lock()
 	defer o.announceMu.Unlock()
 	o.mu.Lock()
-	current := o.backend != nil && sameInstance(o.backend, b)
-	if current && o.instance.incarnation == b.announcement.Incarnation && o.instance.startMs == b.startMs {
-		o.instance.leaving = true
-	}
+	inUse := o.backend != nil && sameInstance(o.backend, b)
 	o.mu.Unlock()
-	if current {
-		o.Withdraw(b.announcement.Service)
+	if !inUse {
+		return
 	}
+	// The start time of one that was announced provisionally is not known.
+	o.depart(b.announcement.Incarnation, b.startMs)
+	o.Withdraw(b.announcement.Service)
 }
 
 // sameInstance reports whether both are the same run of a backend server.
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -67,6 +67,9 @@
 	ColdRateFactor float64
 	// Rollout decides which calls are refused during a rollout. It may be nil.
 	Rollout Rollout
+	// CheckHealth makes a health check of the backend server on this host. A response that
+	// is no success may come with an error. Nil makes the owner believe all heartbeats.
+	CheckHealth func(ctx context.Context, service string) (Health, error)
 	// Clients bounds the memory of calls from other nodes; nil means no bound.
 	Clients *clientlimit.Budget
 	// IdleTimeout is how long an idle connection to the backend server is kept
@@ -100,8 +103,11 @@
 	// largeAnswers holds a buffer for each large body that may be read now.
 	largeAnswers chan *bytes.Buffer
 
-	// announceMu serializes HandleHeartbeat, MarkDeparted and AnnounceProvisionally.
+	// announceMu serializes the changes of the backend server that heartbeats, health
+	// checks and departures cause. It is locked before mu.
 	announceMu sync.Mutex
+	// held tells Run that there is an unconfirmed instance.
+	held chan struct{}
 
 	mu      sync.Mutex
 	backend *backend
@@ -114,8 +120,9 @@
 	lastAnnounced time.Time
 	// instance is the instance of the latest heartbeat that was not stale.
 	instance instance
-	// departures holds the instances passed to MarkDeparted.
-	departures departures
+	// unconfirmed is an instance that has to be confirmed, nil if there is none.
+	unconfirmed *unconfirmed
+	departures  departures
 }
 
 // New returns an owner without a backend server.
@@ -123,7 +130,7 @@
 	if config.Codec == nil {
 		config.Codec = defaultCodec{}
 	}
-	o := &Owner{config: config, running: make(map[string]*activeCall)}
+	o := &Owner{config: config, running: make(map[string]*activeCall), held: make(chan struct{}, 1)}
 	o.largeAnswers = make(chan *bytes.Buffer, cmp.Or(config.LargeAnswers, defaultLargeAnswers))
 	for range cap(o.largeAnswers) {
 		o.largeAnswers <- new(bytes.Buffer)
