Believe an instance whose clock was set back if its health check succeeds

Cause: a heartbeat that states an earlier start than one known is stale. A backend server that started again after its clock had been set back got no calls for as long as the process of its node lived.

Change: while no backend server is announced, such an instance is held like any other that the process doesn't know, and announced only if its health check succeeds. A late heartbeat of an instance that has ended fails it.

Test: TestClockSetBack, failing before in 1 of 5 cases (the one that lives); the other four keep late heartbeats out.

--- a/internal/owner/confirm.go
+++ b/internal/owner/confirm.go
@@ -42,6 +42,9 @@
 	heartbeat Heartbeat
 	// first and last are the times at which heartbeats arrived.
 	first, last time.Time
+	// healthOnly is set if only a health check can confirm the instance: it started before
+	// one that the owner knows.
+	healthOnly bool
 }
 
 // judgement says what a health check shows of an unconfirmed instance.
@@ -69,6 +72,7 @@
 		return gone
 	case answered && err == nil:
 		return confirmed
+	case u.healthOnly:
 	case answered && sending >= repeatedAfter, sending >= maxHeartbeatDelay:
 		return confirmed
 	}
@@ -79,9 +83,9 @@
 }
 
 // hold keeps the heartbeat of an instance that has to be confirmed.
-func (o *Owner) hold(h Heartbeat, next instance) {
+func (o *Owner) hold(h Heartbeat, next instance, healthOnly bool) {
 	now := time.Now()
-	u := &unconfirmed{instance: next, heartbeat: h, first: now, last: now}
+	u := &unconfirmed{instance: next, heartbeat: h, first: now, last: now, healthOnly: healthOnly}
 	if old := o.unconfirmed; old != nil && old.instance.same(next) {
 		u.first = old.first
 	}
--- a/internal/owner/confirm_test.go
+++ b/internal/owner/confirm_test.go
@@ -209,3 +209,35 @@
 		qt.Check(t, r.current().announcement.Cold, qt.IsTrue)
 	})
 }
+
+// TestClockSetBack guards against an instance whose heartbeats are stale for good since its
+// clock was set back, and against a late heartbeat of an earlier one in its place.
+func TestClockSetBack(t *testing.T) {
+	for name, test := range map[string]struct {
+		health    Health
+		healthErr error
+		offered   string
+	}{
+		"lives":             {Health{Incarnation: "b"}, nil, "b"},
+		"ill":               {Health{Incarnation: "b"}, errIll, ""},
+		"a late heartbeat":  {Health{}, errSilent, ""},
+		"leaving":           {Health{Incarnation: "b", Leaving: true}, nil, ""},
+		"another one lives": {Health{Incarnation: "c"}, nil, ""},
+	} {
+		t.Run(name, func(t *testing.T) {
+			restart(t, Health{Incarnation: "a"}, nil, func(r *restartedOwner) {
+				_ = r.HandleHeartbeat(heartbeat("a", 100, 7, false))
+				qt.Check(t, r.offered(soon), qt.Equals, "a")
+				r.setHealth(test.health, test.healthErr)
+				qt.Check(t, r.HandleHeartbeat(heartbeat("b", 50, 1, false)), qt.Equals, ErrStaleHeartbeat)
+				r.MarkDeparted("a", 100)
+				for sequence := range uint64(6) {
+					_ = r.HandleHeartbeat(heartbeat("b", 50, 2+sequence, false))
+					time.Sleep(every)
+				}
+				qt.Check(t, r.offered(0), qt.Equals, test.offered)
+				qt.Check(t, r.HandleHeartbeat(heartbeat("a", 100, 9, false)), qt.Equals, ErrStaleHeartbeat)
+			})
+		})
+	}
+}
--- a/internal/owner/heartbeat.go
+++ b/internal/owner/heartbeat.go
@@ -55,8 +55,10 @@
 	stale standing = iota
 	// current heartbeats are believed.
 	current
-	// unknown heartbeats are those of an instance that has to be confirmed.
+	// unknown heartbeats are those of an instance that has to be confirmed, and
+	// unknownEarlier those of one that started before an instance that was in use.
 	unknown
+	unknownEarlier
 )
 
 // HandleHeartbeat handles a heartbeat. For a stale heartbeat it changes nothing and
@@ -104,8 +106,8 @@
 		if h.Leaving {
 			o.departures.add(next.incarnation, next.startMs)
 		}
-	case unknown:
-		o.hold(h, next)
+	case unknown, unknownEarlier:
+		o.hold(h, next, found == unknownEarlier)
 	}
 	return found
 }
@@ -114,7 +116,7 @@
 // one of its instance, if the instance is leaving or departed, or if it started before
 // one that is known.
 func (o *Owner) standing(next instance, leaving bool) standing {
-	latest := o.instance
+	latest, checked := o.instance, o.config.CheckHealth != nil
 	if o.departures.contains(next.incarnation, next.startMs) {
 		return stale
 	}
@@ -125,8 +127,12 @@
 	}
 	switch {
 	case next.startMs < latest.startMs:
+		// The clock may have been set back since the latest instance started.
+		if checked && !leaving && o.backend == nil {
+			return unknownEarlier
+		}
 		return stale
-	case o.config.CheckHealth == nil, leaving, latest.same(next) && latest != instance{}, o.isProvisional(next):
+	case !checked, leaving, latest.same(next) && latest != instance{}, o.isProvisional(next):
 		return current
 	case o.unconfirmed != nil && next.startMs < o.unconfirmed.instance.startMs:
 		return stale
