--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -104,7 +104,8 @@
 	largeAnswers chan *bytes.Buffer
 
 	// announceMu serializes the changes of the backend server that heartbeats, health
-	// checks and departures cause. It is locked before mu.
+	// checks and departures cause. It is locked before mu, and held while OnBackendChange
+	// and Config.Admission are called: neither may wait for a heartbeat.
 	announceMu sync.Mutex
 	// held tells Run that there is an unconfirmed instance.
 	held chan struct{}
--- a/internal/pipeline/lock_test.go
+++ b/internal/pipeline/lock_test.go
@@ -93,6 +93,28 @@
 	"the handler takes the connection": func(h *heldConn, _ *stream) { h.setState(http.StateHijacked) },
 }
 
+// lockWatch counts calls, and those that were made while the connection's lock was held.
+type lockWatch struct {
+	conn          *heldConn
+	calls, locked atomic.Int32
+}
+
+func (w *lockWatch) call() {
+	w.calls.Add(1)
+	if !w.conn.mu.TryLock() {
+		w.locked.Add(1)
+		return
+	}
+	w.conn.mu.Unlock()
+}
+
+func watchLock(h *heldConn) *lockWatch {
+	w := &lockWatch{conn: h}
+	h.hook = func(http.ConnState) { w.call() }
+	h.Conn = &lockedConn{h.Conn, w.call}
+	return w
+}
+
 // TestHooksWithoutLock guards against a deadlock of the whole node: a hook of the server, or
 // Close of the inner connection, that is called under a connection's lock and waits for a
 // lock whose holder waits for the connection.
@@ -100,32 +122,21 @@
 	for name, change := range connChanges {
 		t.Run(name, func(t *testing.T) {
 			h := newHeldConn(t)
-			var calls, locked atomic.Int32
-			check := func() {
-				calls.Add(1)
-				if !h.mu.TryLock() {
-					locked.Add(1)
-					return
-				}
-				h.mu.Unlock()
-			}
-			h.hook = func(http.ConnState) { check() }
-			h.conn.Conn = &lockedConn{h.conn.Conn, check}
+			w := watchLock(h)
 			h.setState(http.StateNew)
 			h.setState(http.StateActive)
 			change(h, h.readAhead(t))
 			h.listener.Wait()
-			qt.Check(t, calls.Load() > 2, qt.IsTrue)
-			qt.Check(t, locked.Load(), qt.Equals, int32(0))
+			qt.Check(t, w.calls.Load() > 2, qt.IsTrue)
+			qt.Check(t, w.locked.Load(), qt.Equals, int32(0))
 		})
 	}
 	t.Run("not pipelined", func(t *testing.T) {
 		h := newHeldConn(t)
-		closed, locked := false, false
-		h.conn.Conn = &lockedConn{h.conn.Conn, func() { closed, locked = true, !h.mu.TryLock() }}
+		w := watchLock(h)
 		_ = h.Close()
-		qt.Check(t, closed, qt.IsTrue)
-		qt.Check(t, locked, qt.IsFalse)
+		qt.Check(t, w.calls.Load(), qt.Equals, int32(2)) // The hook, then Close.
+		qt.Check(t, w.locked.Load(), qt.Equals, int32(0))
 	})
 }
 
