Take a restart under the name in use at once

Cause: with the health check before the first announcement, a backend server that crashed and started again under its name kept the state of its earlier run, warm, until the check had ended; a check may wait for a slot. It may be cold, and requests that name the instance it expects reach it all the same. Found by reading, not seen.

Change: a heartbeat with the name of the backend server in use counts at once, as it did before. One with another name still waits: the backend server refuses requests that expect the earlier one.

--- a/internal/owner/confirm.go
+++ b/internal/owner/confirm.go
@@ -20,7 +20,8 @@
 	// that the instance still sends them. Heartbeats that were held up together arrive
 	// together.
 	repeatedAfter = time.Second
-	// maxHeartbeatDelay is how late a heartbeat may arrive.
+	// maxHeartbeatDelay is longer than heartbeats are usually late: an instance that answers
+	// no health check is believed if its heartbeats go on for that time.
 	maxHeartbeatDelay = 5 * time.Second
 )
 
--- a/internal/owner/heartbeat.go
+++ b/internal/owner/heartbeat.go
@@ -132,7 +132,7 @@
 			return unknownEarlier
 		}
 		return stale
-	case !checked, leaving, latest.same(next) && latest != instance{}, o.isProvisional(next):
+	case !checked, leaving, latest.same(next) && latest != instance{}, o.hasNameInUse(next):
 		return current
 	case o.unconfirmed != nil && next.startMs < o.unconfirmed.instance.startMs:
 		return stale
@@ -148,11 +148,11 @@
 	return &o.unconfirmed.instance
 }
 
-// isProvisional reports whether the instance was announced provisionally, and so has passed
-// a health check.
-func (o *Owner) isProvisional(next instance) bool {
-	b := o.backend
-	return b != nil && b.startMs == 0 && b.announcement.Incarnation == next.incarnation
+// hasNameInUse reports whether the instance has the name of the backend server in use: a
+// health check announced it provisionally, or it has restarted under its name and may be
+// cold.
+func (o *Owner) hasNameInUse(next instance) bool {
+	return o.backend != nil && o.backend.announcement.Incarnation == next.incarnation
 }
 
 // AnnounceProvisionally uses the announcement in h until the first heartbeat arrives.
